--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -237,6 +237,9 @@
 /// Bodies up to this size are read whole before they are passed on, bytes:
 /// such requests can be sent again, such answers are whole or not at all.
 pub const WHOLE_BODY_BYTES: usize = 64 * 1024;
+/// Answers to somebody else that are passed over before a connection is given
+/// up, answers.
+pub const STRANGE_ANSWERS: u32 = 4;
 /// Most idle connections kept to one worker, connections.
 pub const IDLE_CONNECTIONS: usize = 8;
 /// Pause between two looks at idle connections, ms.
--- a/crates/playbill/src/letters.rs
+++ b/crates/playbill/src/letters.rs
@@ -43,7 +43,7 @@
 pub struct ControlCall {
     #[prost(uint64, tag = "1")]
     pub id: u64,
-    #[prost(oneof = "Order", tags = "2, 3, 4, 5")]
+    #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6")]
     pub order: Option<Order>,
 }
 
@@ -59,14 +59,22 @@
     /// Report the state of the system.
     #[prost(bool, tag = "5")]
     Status(bool),
+    /// Change named items of the configuration.
+    #[prost(message, tag = "6")]
+    Modify(ReplaceOrder),
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
 pub struct ReplaceOrder {
     #[prost(uint64, tag = "1")]
     pub base: u64,
+    /// The whole configuration; in an [`Order::Modify`], the change to it.
     #[prost(bytes = "vec", tag = "2")]
     pub body: Vec<u8>,
+    /// The body of the `modify` that the configuration was made by, so that the
+    /// same order is known when it comes again; empty for a `replace`.
+    #[prost(bytes = "vec", tag = "3")]
+    pub amendment: Vec<u8>,
 }
 
 /// The answer to a call of the operator.
@@ -326,6 +334,9 @@
     /// Zones taken back from an evacuation, and the index at which they were.
     #[prost(message, repeated, tag = "10")]
     pub returned: Vec<ZoneReturn>,
+    /// The `modify` that the configuration was made by, if it was.
+    #[prost(bytes = "vec", tag = "11")]
+    pub amendment: Vec<u8>,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/playbill/src/lib.rs
+++ b/crates/playbill/src/lib.rs
@@ -2,6 +2,7 @@
 //! configuration, the messages between nodes, the replicated state, and the
 //! one file of constants.
 
+pub mod amend;
 pub mod config;
 pub mod constants;
 pub mod letters;
--- a/crates/playbill/src/stage.rs
+++ b/crates/playbill/src/stage.rs
@@ -1,6 +1,7 @@
 //! The control state: what the log says, applied in order. Every node holds a
 //! copy; two copies that stand at the same index are equal.
 
+use crate::amend::amend;
 use crate::config::{Configuration, Fault};
 use crate::letters::*;
 use prost::Message;
@@ -27,6 +28,8 @@
     pub config: Option<Arc<Configuration>>,
     pub config_body: Arc<Vec<u8>>,
     pub config_base: u64,
+    /// The `modify` that the configuration was made by; empty for a `replace`.
+    pub config_amendment: Arc<Vec<u8>>,
     /// Evacuated zones, and how many evacuations of each are in force: two
     /// operators may empty the same zone, and each takes its own back.
     pub evacuated: BTreeMap<String, u32>,
@@ -44,10 +47,38 @@
         self.config.as_ref().map_or(0, |c| c.version)
     }
 
+    /// Whether the configuration in force came of this very order.
+    fn is_in_force(&self, order: &ReplaceOrder) -> bool {
+        let same = if order.amendment.is_empty() {
+            self.config_amendment.is_empty() && order.body == *self.config_body
+        } else {
+            order.amendment == *self.config_amendment
+        };
+        self.config.is_some() && order.base == self.config_base && same
+    }
+
+    /// What a `modify` comes to: the order to replace the whole configuration
+    /// by what it makes of the one in force.
+    pub fn amended(&self, modify: ReplaceOrder) -> Result<ReplaceOrder, Outcome> {
+        let order = ReplaceOrder {
+            base: modify.base,
+            body: Vec::new(),
+            amendment: modify.body,
+        };
+        if self.is_in_force(&order) {
+            return Err(Outcome::Already);
+        }
+        if order.base != self.version() {
+            return Err(Outcome::Lost(self.version()));
+        }
+        let body = amend(&self.config_body, &order.amendment).map_err(Outcome::Invalid)?;
+        Ok(ReplaceOrder { body, ..order })
+    }
+
     /// What replacing the configuration would come to, without doing it.
     pub fn judge_replace(&self, order: &ReplaceOrder) -> Result<Configuration, Outcome> {
         let current = self.version();
-        if current > 0 && order.base == self.config_base && order.body == *self.config_body {
+        if self.is_in_force(order) {
             return Err(Outcome::Already);
         }
         let config = Configuration::parse(&order.body).map_err(Outcome::Invalid)?;
@@ -79,6 +110,7 @@
                     self.config = Some(Arc::new(config));
                     self.config_body = Arc::new(order.body);
                     self.config_base = order.base;
+                    self.config_amendment = Arc::new(order.amendment);
                     self.drop_unknown();
                     Outcome::Applied
                 }
@@ -193,6 +225,7 @@
             version: self.version(),
             configuration: self.config_body.to_vec(),
             base: self.config_base,
+            amendment: self.config_amendment.to_vec(),
             evacuated: self
                 .evacuated
                 .iter()
@@ -229,6 +262,7 @@
             config,
             config_body: Arc::new(image.configuration),
             config_base: image.base,
+            config_amendment: Arc::new(image.amendment),
             evacuated: image
                 .evacuated
                 .into_iter()
@@ -279,6 +313,7 @@
             &encode_change(ChangeKind::Replace(ReplaceOrder {
                 base,
                 body: config(version),
+                ..Default::default()
             })),
         )
     }
@@ -295,6 +330,38 @@
         assert_eq!(stage.version(), 9);
     }
 
+    #[test]
+    fn a_modify_becomes_a_replace_and_is_known_when_it_comes_again() {
+        let mut stage = Stage::default();
+        let modify = |base, text: &str| ReplaceOrder {
+            base,
+            body: text.as_bytes().to_vec(),
+            ..Default::default()
+        };
+        let add = modify(3, r#"{"Version":5,"Upsert":{"Groups":[{"Name":"t"}]}}"#);
+        assert!(matches!(stage.amended(modify(0, "{}")), Err(Outcome::Invalid(_))));
+        replace(&mut stage, 1, 0, 3);
+        let order = stage.amended(add.clone()).expect("fits");
+        assert_eq!(
+            stage.apply(2, &encode_change(ChangeKind::Replace(order.clone()))),
+            Outcome::Applied
+        );
+        assert!(stage
+            .config
+            .as_ref()
+            .is_some_and(|c| c.services.contains_key("t")));
+        let stage = Stage::from_image(stage.image()).expect("readable");
+        assert_eq!(
+            stage.amended(add),
+            Err(Outcome::Already),
+            "also by another leader"
+        );
+        let other = modify(3, r#"{"Version":5,"Upsert":{"Groups":[{"Name":"u"}]}}"#);
+        assert_eq!(stage.amended(other), Err(Outcome::Lost(5)));
+        let low = stage.amended(modify(5, r#"{"Version":5}"#)).expect("readable");
+        assert!(matches!(stage.judge_replace(&low), Err(Outcome::Invalid(_))));
+    }
+
     #[test]
     fn a_zone_stays_empty_until_every_evacuation_of_it_is_taken_back() {
         let mut stage = Stage::default();
--- a/crates/playhouse/src/conductor/orders.rs
+++ b/crates/playhouse/src/conductor/orders.rs
@@ -133,8 +133,9 @@
                 Err(_) => refusal(503, "ending"),
             }
         }
-        Order::Replace(order) => match conductor.send(JudgeReplace(order.clone())).await {
-            Ok(Some(Ok(()))) => settle(conductor, ChangeKind::Replace(order)).await,
+        Order::Replace(order) => replace(conductor, order).await,
+        Order::Modify(modify) => match conductor.send(Amend(modify)).await {
+            Ok(Some(Ok(order))) => replace(conductor, order).await,
             Ok(Some(Err(answer))) => answer,
             _ => answer(NOT_LEADER, ""),
         },
@@ -151,6 +152,14 @@
     }
 }
 
+async fn replace(conductor: Addr<Conductor>, order: ReplaceOrder) -> ControlAnswer {
+    match conductor.send(JudgeReplace(order.clone())).await {
+        Ok(Some(Ok(()))) => settle(conductor, ChangeKind::Replace(order)).await,
+        Ok(Some(Err(answer))) => answer,
+        _ => answer(NOT_LEADER, ""),
+    }
+}
+
 /// Logs a change and waits until the nodes in contact have applied it.
 async fn settle(conductor: Addr<Conductor>, kind: ChangeKind) -> ControlAnswer {
     let Ok(Some(outcome)) = conductor.send(Propose(kind)).await else {
@@ -239,6 +248,19 @@
     }
 }
 
+/// What a `modify` comes to on this node; `None` if it does not lead.
+#[derive(Message)]
+#[rtype(result = "Option<Result<ReplaceOrder, ControlAnswer>>")]
+struct Amend(ReplaceOrder);
+
+impl Handler<Amend> for Conductor {
+    type Result = Option<Result<ReplaceOrder, ControlAnswer>>;
+    fn handle(&mut self, Amend(modify): Amend, _: &mut Self::Context) -> Self::Result {
+        let amended = self.prompter.is_settled().then(|| self.stage.amended(modify))?;
+        Some(amended.map_err(|outcome| refused(&outcome).unwrap_or_else(|| answer(200, "{}"))))
+    }
+}
+
 #[derive(Message)]
 #[rtype(result = "bool")]
 struct AllApplied;
--- a/crates/playhouse/src/desks.rs
+++ b/crates/playhouse/src/desks.rs
@@ -50,6 +50,7 @@
         .route("/readiness", web::get().to(readiness))
         .route("/resolution", web::get().to(resolution))
         .route("/configuration/replace", web::post().to(replace))
+        .route("/configuration/modify", web::post().to(modify))
         .route("/configuration/read", web::get().to(read))
         .route("/evacuation/{zone}/{what}", web::post().to(evacuate))
         .route("/status", web::get().to(status));
@@ -112,6 +113,20 @@
 }
 
 async fn replace(house: web::Data<Shared>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
+    change(&house.0, &request, &body, Order::Replace).await
+}
+
+async fn modify(house: web::Data<Shared>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
+    change(&house.0, &request, &body, Order::Modify).await
+}
+
+/// A change to the configuration, on top of the version that it names.
+async fn change(
+    house: &House,
+    request: &HttpRequest,
+    body: &[u8],
+    kind: fn(ReplaceOrder) -> Order,
+) -> HttpResponse {
     let base = request
         .headers()
         .get("Base-Version")
@@ -120,14 +135,12 @@
     let Some(base) = base else {
         return fault(StatusCode::BAD_REQUEST, "Base-Version is missing or no number");
     };
-    order(
-        &house.0,
-        Order::Replace(ReplaceOrder {
-            base,
-            body: body.to_vec(),
-        }),
-    )
-    .await
+    let change = ReplaceOrder {
+        base,
+        body: body.to_vec(),
+        ..Default::default()
+    };
+    order(house, kind(change)).await
 }
 
 async fn read(house: web::Data<Shared>) -> HttpResponse {
--- a/crates/playhouse/src/forwarding_tests.rs
+++ b/crates/playhouse/src/forwarding_tests.rs
@@ -35,7 +35,7 @@
 
 fn ok(body: &str) -> Act {
     Act::Say(format!(
-        "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: {}\r\n\r\n{body}",
+        "HTTP/1.1 200 OK\r\nAttempt-Id: 7\r\nServer-Seal: s\r\nContent-Length: {}\r\n\r\n{body}",
         body.len()
     ))
 }
@@ -153,6 +153,7 @@
     let order = ReplaceOrder {
         base: 0,
         body: CONFIG.into(),
+        ..Default::default()
     };
     stage.apply(1, &encode_change(ChangeKind::Replace(order)));
     let put = workers
@@ -249,7 +250,9 @@
             "502",
         ),
         (
-            Act::SayAndClose("HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nhalf".into()),
+            Act::SayAndClose(
+                "HTTP/1.1 200 OK\r\nAttempt-Id: 7\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nhalf".into(),
+            ),
             "502",
         ),
         (
@@ -295,7 +298,7 @@
 
 #[actix_rt::test]
 async fn stray_bytes_never_reach_the_next_request() {
-    let stray = "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 1\r\n\r\n1HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
+    let stray = "HTTP/1.1 200 OK\r\nAttempt-Id: 7\r\nServer-Seal: s\r\nContent-Length: 1\r\n\r\n1HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwrong";
     let (script, address) = worker(vec![Act::Say(stray.into()), ok("right")]).await;
     let front = front(&[address]).await;
     assert!(raw(front, &get("/again/a")).await.ends_with("\r\n\r\n1"));
@@ -307,9 +310,31 @@
     );
 }
 
+#[actix_rt::test]
+async fn a_surplus_answer_in_the_place_of_the_next_is_passed_over() {
+    let stale = "HTTP/1.1 200 OK\r\nAttempt-Id: 6\r\nServer-Seal: s\r\nContent-Length: 5\r\n\r\nwrong";
+    let Act::Say(right) = ok("right") else { return };
+    let (script, address) = worker(vec![Act::Say(format!("{stale}{right}")), ok("next")]).await;
+    let front_address = front(&[address]).await;
+    assert!(raw(front_address, &post("/once/a", "x")).await.ends_with("right"));
+    assert!(raw(front_address, &post("/once/a", "x")).await.ends_with("next"));
+    assert_eq!(
+        (script.seen.borrow().len(), *script.connections.borrow()),
+        (2, 2),
+        "run once each, and not on the connection that had strayed"
+    );
+    // Nothing but a stranger's answer is no answer; nor is a success without an id.
+    let nameless = stale.replace("Attempt-Id: 6\r\n", "");
+    for only in [stale, &nameless] {
+        let (_, address) = worker(vec![Act::SayAndClose(only.into())]).await;
+        let front_address = front(&[address]).await;
+        assert_eq!(status(&raw(front_address, &post("/once/a", "x")).await), "502");
+    }
+}
+
 #[actix_rt::test]
 async fn a_closing_worker_is_not_called_on_the_same_connection() {
-    let closing = "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nConnection: close\r\nContent-Length: 1\r\n\r\n1";
+    let closing = "HTTP/1.1 200 OK\r\nAttempt-Id: 7\r\nServer-Seal: s\r\nConnection: close\r\nContent-Length: 1\r\n\r\n1";
     let (script, address) = worker(vec![Act::Say(closing.into()), ok("2"), ok("3")]).await;
     let front = front(&[address]).await;
     for end in ["1", "2", "3"] {
--- a/crates/playhouse/src/upstream.rs
+++ b/crates/playhouse/src/upstream.rs
@@ -6,7 +6,7 @@
 use actix_codec::{Decoder, Encoder};
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
-use actix_http::header::{self, HeaderMap};
+use actix_http::header::{self, HeaderMap, HeaderValue};
 use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
@@ -150,9 +150,22 @@
                 codec: ClientCodec::new(self.config.clone()),
             },
         };
+        let attempt = head.headers.get(ATTEMPT).cloned();
         send(&mut line, head, body).await?;
-        let head = read_head(&mut line).await.map_err(|()| Fault::Unclear)?;
-        let idle_ms = if says_close(&head.headers) {
+        let mut strangers = 0;
+        let head = loop {
+            let head = read_head(&mut line).await.map_err(|()| Fault::Unclear)?;
+            if answers(&head, attempt.as_ref()) {
+                break head;
+            }
+            // A surplus answer to somebody else stands where ours is due.
+            strangers += 1;
+            if strangers > c::STRANGE_ANSWERS {
+                return Err(Fault::Unclear);
+            }
+            line = pass_over(line).await.map_err(|()| Fault::Unclear)?;
+        };
+        let idle_ms = if strangers > 0 || says_close(&head.headers) {
             0
         } else {
             idle_time(&head.headers)
@@ -239,6 +252,41 @@
     }
 }
 
+/// Workers echo the id of the try that an answer belongs to.
+const ATTEMPT: &str = "attempt-id";
+
+/// Whether an answer belongs to the try of this id. A success must say so;
+/// what turns a request away may leave the id out.
+fn answers(head: &ResponseHead, attempt: Option<&HeaderValue>) -> bool {
+    match (attempt, head.headers.get(ATTEMPT)) {
+        (None, _) => true,
+        (Some(_), None) => !head.status.is_success(),
+        (Some(ours), Some(theirs)) => ours == theirs,
+    }
+}
+
+/// Reads the body of an answer that is not ours.
+async fn pass_over(line: Line) -> Result<Line, ()> {
+    if line.codec.message_type() == MessageType::None {
+        return Ok(line);
+    }
+    let mut reader = Reader {
+        to_end: line.codec.message_type() == MessageType::Stream,
+        io: line.io,
+        buf: line.buf,
+        codec: line.codec.into_payload_codec(),
+    };
+    while reader.next().await?.is_some() {}
+    if reader.to_end {
+        return Err(());
+    }
+    Ok(Line {
+        io: reader.io,
+        buf: reader.buf,
+        codec: reader.codec.into_message_codec(),
+    })
+}
+
 fn says_close(headers: &HeaderMap) -> bool {
     headers
         .get_all(header::CONNECTION)
@@ -364,14 +412,12 @@
     let mut head = RequestHead::default();
     head.method = method;
     head.uri = path.parse().map_err(|_| Fault::NotSent)?;
-    if let Ok(host) = header::HeaderValue::from_str(address) {
+    if let Ok(host) = HeaderValue::from_str(address) {
         head.headers.insert(header::HOST, host);
     }
     if body.is_some() {
-        head.headers.insert(
-            header::CONTENT_TYPE,
-            header::HeaderValue::from_static("application/json"),
-        );
+        head.headers
+            .insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     }
     let terms = Terms {
         reuse_ms: c::IDLE_REUSE_ONCE_MS,
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -99,6 +99,7 @@
                 let order = ReplaceOrder {
                     base: number(rest.get(1))?,
                     body: configuration(number(rest.get(2))?),
+                    ..Default::default()
                 };
                 if !self.world.order(rest[0], order) && words[0] == "order" {
                     return Err("nobody takes it".into());
--- a/crates/usher/src/seats.rs
+++ b/crates/usher/src/seats.rs
@@ -499,6 +499,7 @@
         let order = ReplaceOrder {
             base: 0,
             body: CONFIG.into(),
+            ..Default::default()
         };
         stage.apply(1, &encode_change(ChangeKind::Replace(order)));
         let put = workers
--- a/crates/wardrobe/src/tests.rs
+++ b/crates/wardrobe/src/tests.rs
@@ -24,6 +24,7 @@
         play.change(ChangeKind::Replace(ReplaceOrder {
             base: 0,
             body: CONFIG.into(),
+            ..Default::default()
         }));
         let put = (0..workers).map(|i| worker(&format!("w{i}"))).collect();
         play.change(ChangeKind::Workers(WorkersChange { put, gone: vec![] }));
