--- a/crates/boxoffice/src/ledger.rs
+++ b/crates/boxoffice/src/ledger.rs
@@ -19,7 +19,8 @@
     since: Option<u64>,
     /// Smoothed rates in requests a second.
     rates: BTreeMap<(u32, String), f64>,
-    latest: BTreeMap<u64, Latest>,
+    /// Reports by node and region: a node passes on those of its followers.
+    latest: BTreeMap<(u64, String), Latest>,
     /// Of each worker: sum of answer times in ms, answers, failures; all fade.
     answers: BTreeMap<u32, (f64, f64, f64)>,
 }
@@ -41,7 +42,8 @@
             sum.1 += w.served as f64;
             sum.2 += w.failed as f64;
         }
-        self.latest.insert(node, Latest { at: now, report });
+        self.latest
+            .insert((node, report.region.clone()), Latest { at: now, report });
     }
 
     /// Closes the period that ends now: smooths the rates and returns what a
--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -6,8 +6,17 @@
 /// shortest election time, so that one lost heartbeat means nothing.
 pub const HEARTBEAT_MS: u64 = 100;
 /// Pause between heartbeats to nodes that do not vote, ms: they only need to
-/// learn that they are current, and bytes between regions are priced.
+/// learn that they are current. The voter they follow sends them.
 pub const OBSERVER_HEARTBEAT_MS: u64 = 400;
+/// A follower that says nothing for this long is fed no more, ms: several
+/// heartbeats.
+pub const FOLLOWER_GONE_MS: u64 = 3000;
+/// A voter that feeds this node and says nothing for this long is left for
+/// another, ms: more than two heartbeats, well inside the bound of a change.
+pub const SOURCE_SILENT_MS: u64 = 1100;
+/// A voter that was left is not asked again for this long, ms: longer than a
+/// restart.
+pub const SOURCE_SHUN_MS: u64 = 4000;
 /// Shortest silence of a leader before an election, ms: more than four
 /// heartbeats and a round trip between far regions.
 pub const ELECTION_MIN_MS: u64 = 450;
--- a/crates/playbill/src/letters.rs
+++ b/crates/playbill/src/letters.rs
@@ -1,6 +1,7 @@
 //! Messages between nodes, and the changes that the log orders.
 
 use prost::{Message, Oneof};
+use std::collections::BTreeMap;
 
 /// One frame on a held connection between two nodes.
 #[derive(Clone, PartialEq, Message)]
@@ -118,6 +119,71 @@
     pub keys: Vec<KeyCounts>,
 }
 
+impl Report {
+    /// Adds what another node of the same region reports: a voter passes on
+    /// the sum of what those that it feeds have counted.
+    pub fn absorb(&mut self, other: Report) {
+        for mut d in other.demand {
+            if d.group.is_empty() {
+                d.group.clone_from(&other.zone);
+            }
+            let own = d.group == self.zone;
+            let same =
+                |x: &Demand| x.service == d.service && (x.group == d.group || own && x.group.is_empty());
+            match self.demand.iter_mut().find(|x| same(x)) {
+                Some(x) => x.count += d.count,
+                None => self.demand.push(d),
+            }
+        }
+        let mut workers: BTreeMap<u32, usize> = self
+            .capacity
+            .iter()
+            .enumerate()
+            .map(|(i, w)| (w.worker, i))
+            .collect();
+        for w in other.capacity {
+            let at = *workers.entry(w.worker).or_insert(self.capacity.len());
+            match self.capacity.get_mut(at) {
+                Some(x) => {
+                    let served = x.served + w.served;
+                    if served > 0 {
+                        let sum = f64::from(x.answer_ms) * x.served as f64
+                            + f64::from(w.answer_ms) * w.served as f64;
+                        x.answer_ms = (sum / served as f64) as f32;
+                    }
+                    x.served = served;
+                    x.failed += w.failed;
+                }
+                None => self.capacity.push(w),
+            }
+        }
+        for d in other.distance {
+            match self.distance.iter_mut().find(|x| x.region == d.region) {
+                Some(x) => x.rtt_ms = (x.rtt_ms + d.rtt_ms) / 2.0,
+                None => self.distance.push(d),
+            }
+        }
+        self.span_ms = self.span_ms.max(other.span_ms);
+        self.carry += other.carry;
+        for k in other.keys {
+            let Some(x) = self.keys.iter_mut().find(|x| x.service == k.service) else {
+                self.keys.push(k);
+                continue;
+            };
+            let counts = x
+                .buckets
+                .iter()
+                .zip(&x.counts)
+                .chain(k.buckets.iter().zip(&k.counts));
+            let mut sums: BTreeMap<u32, u32> = BTreeMap::new();
+            for (bucket, count) in counts {
+                *sums.entry(*bucket).or_default() += count;
+            }
+            (x.buckets, x.counts) = sums.into_iter().unzip();
+        }
+    }
+}
+
 /// Requests for the keys of a service, by bucket of neighbouring keys.
 #[derive(Clone, PartialEq, Message)]
 pub struct KeyCounts {
@@ -346,3 +412,51 @@
     #[prost(uint64, tag = "2")]
     pub index: u64,
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_is_passed_on_adds_up() {
+        let report = |zone: &str, worker, served, ms, bucket| Report {
+            zone: zone.into(),
+            region: "r".into(),
+            span_ms: 500,
+            demand: vec![Demand {
+                service: 1,
+                group: String::new(),
+                count: served,
+            }],
+            capacity: vec![Capacity {
+                worker,
+                answer_ms: ms,
+                served,
+                failed: 1,
+            }],
+            carry: 10.0,
+            keys: vec![KeyCounts {
+                service: 1,
+                buckets: vec![bucket, 9],
+                counts: vec![1, 2],
+            }],
+            ..Default::default()
+        };
+        let mut sum = report("a", 7, 10, 100.0, 3);
+        sum.absorb(report("a", 7, 30, 200.0, 4));
+        sum.absorb(report("b", 8, 5, 50.0, 3));
+        let demand: Vec<_> = sum.demand.iter().map(|d| (d.group.as_str(), d.count)).collect();
+        assert_eq!(demand, [("", 40), ("b", 5)]);
+        let capacity: Vec<_> = sum
+            .capacity
+            .iter()
+            .map(|w| (w.worker, w.served, w.failed, w.answer_ms))
+            .collect();
+        assert_eq!(capacity, [(7, 40, 2, 175.0), (8, 5, 1, 50.0)]);
+        assert_eq!((sum.carry, sum.span_ms), (30.0, 500));
+        assert_eq!(
+            (&sum.keys[0].buckets, &sum.keys[0].counts),
+            (&vec![3, 4, 9], &vec![2, 1, 6])
+        );
+    }
+}
--- a/crates/playhouse/src/conductor/mod.rs
+++ b/crates/playhouse/src/conductor/mod.rs
@@ -16,7 +16,7 @@
 use playbill::letters::*;
 use playbill::stage::Outcome;
 use playbill::Stage;
-use prompter::{Cue, EntryKind, Prompter, Role, Snapshot, Timing, Write};
+use prompter::{Cue, EntryKind, Following, Prompter, Role, Snapshot, Timing, Write};
 use prost::Message as _;
 use rand::Rng;
 use std::collections::{HashMap, VecDeque};
@@ -64,6 +64,7 @@
         lease: c::LEASE_MS,
         resend: c::RESEND_MS,
         snapshot_resend: c::SNAPSHOT_RESEND_MS,
+        follower_gone: c::FOLLOWER_GONE_MS,
         append_bytes: c::APPEND_BYTES,
     };
     let stage = stage_of(&saved.snapshot);
@@ -99,6 +100,7 @@
         mended: false,
         in_trouble: false,
         role: Role::Follower,
+        following: Following::default(),
     }
     .start();
     house.put(conductor.clone());
@@ -170,6 +172,8 @@
     mended: bool,
     in_trouble: bool,
     role: Role,
+    /// Which voter this node follows, if it has no disk.
+    following: Following,
 }
 
 impl Actor for Conductor {
--- a/crates/playhouse/src/conductor/tending.rs
+++ b/crates/playhouse/src/conductor/tending.rs
@@ -5,7 +5,7 @@
 use callboard::Member;
 use playbill::constants as c;
 use playbill::letters::Matter;
-use prompter::{next_roll, Losses, Patience, Seen, Voter};
+use prompter::{next_roll, FollowTiming, Losses, Patience, Seen, Source, Voter};
 use rand::Rng;
 use std::collections::BTreeSet;
 
@@ -13,6 +13,7 @@
     pub(super) fn look_around(&mut self) {
         let now = self.house.now();
         self.begin_system();
+        self.choose_source(now);
         if self.prompter.is_leader() {
             self.tend_roll(now);
         } else {
@@ -61,6 +62,48 @@
         }
     }
 
+    /// A node without a disk follows a voter near it; the leader feeds the
+    /// voters only.
+    fn choose_source(&mut self, now: u64) {
+        if self.vault.is_some() {
+            return;
+        }
+        let settings = self.house.settings.get();
+        let cluster = self.house.standing.get().cluster;
+        let members = self.house.members.get();
+        let ours = |m: &&Member| m.cluster != 0 && (cluster == 0 || m.cluster == cluster);
+        let able: Vec<&Member> = members
+            .iter()
+            .filter(|m| m.disk && m.id != 0 && m.is_alive())
+            .filter(ours)
+            .collect();
+        let any_ready = able.iter().any(|m| m.ready);
+        // The roll of a node that was cut off for long may be out of date.
+        let roll = self.prompter.roll();
+        let any_votes = able.iter().any(|m| roll.has(m.id));
+        let sources: Vec<Source> = able
+            .into_iter()
+            .filter(|m| (m.ready || !any_ready) && (roll.has(m.id) || !any_votes))
+            .map(|m| Source {
+                id: m.id,
+                same_zone: m.zone == settings.own_entity.zone,
+                same_region: m.region == settings.own_entity.region,
+            })
+            .collect();
+        let timing = FollowTiming {
+            silent: c::SOURCE_SILENT_MS,
+            shun: c::SOURCE_SHUN_MS,
+        };
+        let feed = self.prompter.feed();
+        let me = self.prompter.id();
+        if let Some(source) = self.following.next(now, me, feed, &sources, timing) {
+            self.house.counters.add("sources_chosen");
+            self.prompter.follow(now, source);
+            let address = members.iter().find(|m| m.id == source).map(|m| m.address.clone());
+            self.house.source.set(address);
+        }
+    }
+
     pub(super) fn as_voter(&self) -> Voter {
         let settings = self.house.settings.get();
         Voter {
@@ -71,13 +114,14 @@
         }
     }
 
-    /// Every other node that may belong to this cluster.
+    /// Every other machine with a disk that may belong to this cluster.
     pub(super) fn observers(&self) -> BTreeSet<u64> {
         let standing = self.house.standing.get();
         let members = self.house.members.get();
         let ours = |m: &&Member| m.cluster == 0 || m.cluster == standing.cluster;
         members
             .iter()
+            .filter(|m| m.disk)
             .filter(ours)
             .map(|m| m.id)
             .filter(|id| *id != 0 && *id != standing.id)
--- a/crates/playhouse/src/desk.rs
+++ b/crates/playhouse/src/desk.rs
@@ -37,6 +37,7 @@
         keys: BTreeMap::new(),
         groups: HashMap::new(),
         reported: house.now(),
+        passed_on: BTreeMap::new(),
     };
     house.put(desk.start());
     Ok(())
@@ -75,6 +76,11 @@
     pub zone: String,
 }
 
+/// A report of a node that follows this one, to be passed on to the leader.
+#[derive(Message)]
+#[rtype(result = "()")]
+pub struct PassOn(pub Report);
+
 /// Client addresses remembered with their zone, addresses.
 const GROUPS_KEPT: usize = 4096;
 
@@ -89,6 +95,8 @@
     /// The zone of clients, as the directory learned it.
     groups: HashMap<IpAddr, String>,
     reported: u64,
+    /// What nodes that follow this one have reported since, by their region.
+    passed_on: BTreeMap<String, Report>,
 }
 
 impl Actor for Desk {
@@ -139,7 +147,10 @@
         self.reported = now;
         let standing = self.house.standing.get();
         let members = self.house.members.get();
-        let Some(leader) = members.iter().find(|m| m.id == standing.leader && m.id != 0) else {
+        // A node that follows a voter reports to it.
+        let source = (*self.house.source.get()).clone();
+        let leader = members.iter().find(|m| m.id == standing.leader && m.id != 0);
+        let Some(to) = source.or_else(|| leader.map(|m| m.address.clone())) else {
             return;
         };
         let settings = self.house.settings.get();
@@ -156,7 +167,7 @@
                 row.counts.push(count);
             }
         }
-        let report = Report {
+        let mut report = Report {
             zone: settings.own_entity.zone.clone(),
             region: settings.own_entity.region.clone(),
             span_ms,
@@ -196,11 +207,17 @@
             carry: settings.own_entity.limits.cpu_fraction * 1000.0 / c::CARRY_MS,
             keys,
         };
+        let mut reports = std::mem::take(&mut self.passed_on);
+        if let Some(others) = reports.remove(&report.region) {
+            report.absorb(others);
+        }
         if let Some(post) = self.house.get::<Addr<Post>>() {
-            post.do_send(Send {
-                to: leader.address.clone(),
-                matter: Matter::Report(report),
-            });
+            for report in std::iter::once(report).chain(reports.into_values()) {
+                post.do_send(Send {
+                    to: to.clone(),
+                    matter: Matter::Report(report),
+                });
+            }
         }
     }
 }
@@ -247,6 +264,18 @@
     }
 }
 
+impl Handler<PassOn> for Desk {
+    type Result = ();
+    fn handle(&mut self, PassOn(report): PassOn, _: &mut Self::Context) {
+        match self.passed_on.get_mut(&report.region) {
+            Some(sum) => sum.absorb(report),
+            None => {
+                self.passed_on.insert(report.region.clone(), report);
+            }
+        }
+    }
+}
+
 impl Handler<ClientSeen> for Desk {
     type Result = ();
     fn handle(&mut self, msg: ClientSeen, _: &mut Self::Context) {
--- a/crates/playhouse/src/kernel.rs
+++ b/crates/playhouse/src/kernel.rs
@@ -46,6 +46,8 @@
     /// Round trips to regions, in ms.
     pub rtt: Published<BTreeMap<String, f64>>,
     pub standing: Published<Standing>,
+    /// The address of the voter that this node follows, if it does not vote.
+    pub source: Published<Option<String>>,
     /// Set once the process has been told to end.
     pub leaving: Cell<bool>,
     pub counters: Counters,
@@ -63,6 +65,7 @@
             members: Published::new(Vec::new()),
             rtt: Published::new(BTreeMap::new()),
             standing: Published::new(Standing::default()),
+            source: Published::new(None),
             leaving: Cell::new(false),
             counters: Counters::default(),
             started: Instant::now(),
--- a/crates/playhouse/src/post.rs
+++ b/crates/playhouse/src/post.rs
@@ -2,6 +2,7 @@
 //! tell; frames are a length and an encoded [`Letter`].
 
 use crate::conductor::Conductor;
+use crate::desk::{Desk, PassOn};
 use crate::kernel::{House, Plugin};
 use crate::keys::{Counted, Dresser};
 use crate::placement::Treasurer;
@@ -107,6 +108,13 @@
             return;
         }
         if let Some(Matter::Report(mut report)) = letter.matter {
+            if !self.house.standing.get().is_leader {
+                // From a node that follows this one: passed on with the rest.
+                if let Some(desk) = self.house.get::<Addr<Desk>>() {
+                    desk.do_send(PassOn(report));
+                }
+                return;
+            }
             if let Some(dresser) = self.house.get::<Addr<Dresser>>() {
                 let keys = std::mem::take(&mut report.keys);
                 dresser.do_send(Counted {
--- a/crates/prompter/src/cue.rs
+++ b/crates/prompter/src/cue.rs
@@ -79,6 +79,8 @@
     Install = 6,
     /// The leader hands over: campaign at once.
     TakeOver = 7,
+    /// A node without a vote asks a voter to pass the log on to it.
+    Follow = 8,
 }
 
 /// A message of the agreement.
@@ -105,7 +107,11 @@
     pub yes: bool,
     #[prost(message, optional, tag = "9")]
     pub snapshot: Option<Snapshot>,
-    /// Appended: the index up to which the sender has applied.
+    /// Appended: the index up to which the sender, and those that it feeds,
+    /// have applied.
     #[prost(uint64, tag = "10")]
     pub applied: u64,
+    /// In what a voter passes on: who leads.
+    #[prost(fixed64, tag = "11")]
+    pub leader: u64,
 }
--- a/crates/prompter/src/lib.rs
+++ b/crates/prompter/src/lib.rs
@@ -7,10 +7,12 @@
 
 mod cue;
 mod machine;
+mod near;
 mod progress;
 mod tend;
 
 pub use cue::{Cue, CueKind, Entry, EntryKind, Roll, Snapshot, Voter};
+pub use near::{FollowTiming, Following, Source};
 pub use tend::{bears, next_roll, Losses, Patience, Seen};
 
 pub use machine::{Effects, Prompter, Role, Saved, Timing, Write};
--- a/crates/prompter/src/machine.rs
+++ b/crates/prompter/src/machine.rs
@@ -1,3 +1,5 @@
+mod relay;
+
 use crate::cue::*;
 use crate::progress::Progress;
 use prost::Message;
@@ -15,6 +17,8 @@
     pub lease: u64,
     pub resend: u64,
     pub snapshot_resend: u64,
+    /// A follower silent for longer is fed no more.
+    pub follower_gone: u64,
     pub append_bytes: usize,
 }
 
@@ -99,6 +103,13 @@
     handing_over: Option<u64>,
     gave_way_at: Option<u64>,
     unfit: bool,
+    /// Nodes without a vote that this node passes the log on to.
+    followers: BTreeMap<u64, Progress>,
+    feed_beat_at: u64,
+    /// The leader and term that followers were last told of.
+    fed_leader: (u64, u64),
+    /// Whom this node follows, if it does not vote.
+    feed: relay::Feed,
     out: Effects,
 }
 
@@ -137,6 +148,10 @@
             handing_over: None,
             gave_way_at: None,
             unfit: false,
+            followers: BTreeMap::new(),
+            feed_beat_at: 0,
+            fed_leader: (0, 0),
+            feed: relay::Feed::default(),
             out: Effects::default(),
         };
         me.read_roll();
@@ -228,7 +243,9 @@
     }
 
     pub fn take_effects(&mut self) -> Effects {
+        self.feed_by_time();
         if self.commit > self.handed {
+            self.feed_all(false);
             let (from, to) = (self.handed, self.commit);
             self.out.committed.extend(
                 self.log
@@ -402,9 +419,14 @@
 
     /// The moment of the next tick that matters.
     pub fn next_tick(&self) -> u64 {
-        match self.role {
+        let own = match self.role {
             Role::Leader => self.beat_at,
             _ => self.deadline,
+        };
+        if self.followers.is_empty() {
+            own
+        } else {
+            own.min(self.feed_beat_at)
         }
     }
 
@@ -574,11 +596,17 @@
                 }
                 return;
             }
+            CueKind::Follow => return self.on_follow(from, cue),
             _ => {}
         }
+        let passed_on = cue.leader != 0;
+        if passed_on && !self.takes_feed(from) {
+            return;
+        }
+        let leader = if passed_on { cue.leader } else { from };
         if cue.term > self.term {
             let leader = if matches!(kind, CueKind::Append | CueKind::Install) {
-                from
+                leader
             } else {
                 0
             };
@@ -596,13 +624,15 @@
                     let reply = Cue {
                         kind: CueKind::Appended as i32,
                         term: self.term,
+                        index: self.commit,
+                        applied: self.applied,
                         ..Default::default()
                     };
                     self.out.now.push((from, reply));
                     return;
                 }
-                if self.role != Role::Follower || self.leader != from {
-                    self.become_follower(cue.term, from);
+                if self.role != Role::Follower || self.leader != leader {
+                    self.become_follower(cue.term, leader);
                 }
                 self.heard_at = now;
                 self.rest();
@@ -612,6 +642,7 @@
                     self.on_install(from, cue);
                 }
             }
+            CueKind::Appended if self.on_fed(from, &cue) => {}
             CueKind::Appended => self.on_appended(from, cue),
             CueKind::TakeOver if cue.term == self.term && self.role == Role::Follower => {
                 self.campaign(true);
@@ -678,7 +709,7 @@
             kind: CueKind::Appended as i32,
             term: self.term,
             round: cue.round,
-            applied: self.applied,
+            applied: self.applied_by_all(),
             ..Default::default()
         };
         self.told_commit = self.told_commit.max(cue.commit);
@@ -727,7 +758,7 @@
         let Some(snapshot) = cue.snapshot else { return };
         if snapshot.index <= self.commit {
             reply.index = self.commit;
-            reply.applied = self.applied;
+            reply.applied = self.applied_by_all();
             self.out.after.push((from, reply));
             return;
         }
@@ -765,7 +796,7 @@
         };
         p.heard_at = now;
         p.round = p.round.max(cue.round);
-        p.applied = p.applied.max(cue.applied);
+        p.applied = cue.applied;
         if cue.yes {
             if cue.index > p.matched {
                 p.matched = cue.index;
@@ -925,17 +956,8 @@
         if first > last && !always {
             return;
         }
-        let skip = (first - self.snapshot.index - 1) as usize;
-        let mut bytes = 0;
-        let mut entries = Vec::new();
-        for e in self.log.iter().skip(skip) {
-            bytes += e.data.len() + 32;
-            if bytes > self.timing.append_bytes && !entries.is_empty() {
-                break;
-            }
-            entries.push(e.clone());
-        }
-        if !entries.is_empty() {
+        let entries = self.entries_from(first, last);
+        if let (Some(p), false) = (self.progress.get_mut(&to), entries.is_empty()) {
             p.sent_at = self.now;
             p.next = first + entries.len() as u64;
         }
@@ -953,6 +975,21 @@
         self.out.now.push((to, cue));
     }
 
+    /// Entries of the log, as many as one message may carry.
+    fn entries_from(&self, first: u64, last: u64) -> Vec<Entry> {
+        let skip = (first - self.snapshot.index - 1) as usize;
+        let mut bytes = 0;
+        let mut entries = Vec::new();
+        for e in self.log.iter().skip(skip).take_while(|e| e.index <= last) {
+            bytes += e.data.len() + 32;
+            if bytes > self.timing.append_bytes && !entries.is_empty() {
+                break;
+            }
+            entries.push(e.clone());
+        }
+        entries
+    }
+
     /// Says no more than that the leader is there, to a node that waits for a
     /// snapshot.
     fn heartbeat(&mut self, to: u64) {
--- a/crates/rehearsal/src/node.rs
+++ b/crates/rehearsal/src/node.rs
@@ -5,7 +5,7 @@
 use playbill::letters::{ReplaceOrder, StageImage};
 use playbill::stage::Outcome;
 use playbill::Stage;
-use prompter::{Cue, EntryKind, Prompter, Snapshot, Timing};
+use prompter::{Cue, EntryKind, Following, Prompter, Snapshot, Timing};
 use prost::Message;
 use std::collections::VecDeque;
 use wardrobe::Wardrobe;
@@ -18,6 +18,7 @@
     lease: c::LEASE_MS,
     resend: c::RESEND_MS,
     snapshot_resend: c::SNAPSHOT_RESEND_MS,
+    follower_gone: c::FOLLOWER_GONE_MS,
     append_bytes: c::APPEND_BYTES,
 };
 
@@ -38,6 +39,7 @@
     written_at: u64,
     waiting: VecDeque<Held>,
     pub orders: Vec<Pending>,
+    pub following: Following,
 }
 
 /// An order of the operator that waits in the log.
@@ -94,6 +96,7 @@
             written_at: 0,
             waiting: VecDeque::new(),
             orders: Vec::new(),
+            following: Following::default(),
         });
     }
 
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -6,7 +6,7 @@
 use playbill::constants as c;
 use playbill::letters::*;
 use playbill::stage::{encode_change, Outcome};
-use prompter::{bears, next_roll, Cue, Losses, Patience, Seen, Voter};
+use prompter::{bears, next_roll, Cue, FollowTiming, Losses, Patience, Seen, Source, Voter};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, BTreeSet};
@@ -158,6 +158,7 @@
         while self.now < end {
             self.now += STEP_MS;
             self.deliver();
+            self.follow();
             self.lead();
             let names: Vec<String> = self.nodes.keys().cloned().collect();
             for name in names {
@@ -319,6 +320,34 @@
             .filter(|l| l.started == started)
     }
 
+    /// Nodes without a disk choose whom they follow.
+    fn follow(&mut self) {
+        let now = self.now;
+        let disks: Vec<(u64, String)> = self
+            .nodes
+            .values()
+            .filter(|n| n.disk.is_some() && n.life.is_some())
+            .map(|n| (n.id(), n.region.clone()))
+            .collect();
+        let timing = FollowTiming {
+            silent: c::SOURCE_SILENT_MS,
+            shun: c::SOURCE_SHUN_MS,
+        };
+        for node in self.nodes.values_mut().filter(|n| n.disk.is_none()) {
+            let Some(life) = &mut node.life else { continue };
+            let source = |(id, region): &(u64, String)| Source {
+                id: *id,
+                same_zone: false,
+                same_region: *region == node.region,
+            };
+            let sources: Vec<Source> = disks.iter().map(source).collect();
+            let (me, feed) = (life.prompter.id(), life.prompter.feed());
+            if let Some(source) = life.following.next(now, me, feed, &sources, timing) {
+                life.prompter.follow(now, source);
+            }
+        }
+    }
+
     /// The duties of whoever holds the lease, and the leader's care for the roll.
     fn lead(&mut self) {
         let now = self.now;
@@ -332,7 +361,7 @@
                 alive: true,
             })
             .collect();
-        let observers: BTreeSet<u64> = seen.iter().map(|s| s.voter.id).collect();
+        let observers: BTreeSet<u64> = seen.iter().filter(|s| s.disk).map(|s| s.voter.id).collect();
         let listed: Vec<Worker> = self.workers.values().map(|w| w.listed.clone()).collect();
         let mut flights = Vec::new();
         for node in self.nodes.values_mut() {
