--- a/crates/callboard/src/board.rs
+++ b/crates/callboard/src/board.rs
@@ -17,6 +17,8 @@
     pub gossip_members: usize,
     pub join_every: u64,
     pub rejoin_every: u64,
+    /// Least pause between two comparisons of everything that is known.
+    pub exchange_every: u64,
 }
 
 struct Entry {
@@ -48,6 +50,9 @@
     next_probe: u64,
     next_join: u64,
     my_tell: u32,
+    /// Answers in a row from nodes that know something else.
+    differed: u32,
+    next_exchange: u64,
     changed: bool,
     out: Vec<(String, Notice)>,
     /// Round trips of direct probes, by address, smoothed, in ms.
@@ -69,6 +74,8 @@
             next_probe: now,
             next_join: now,
             my_tell: timing.gossip_times,
+            differed: 0,
+            next_exchange: now,
             changed: true,
             out: Vec::new(),
             rtt: BTreeMap::new(),
@@ -79,13 +86,59 @@
         &self.me
     }
 
+    /// How often one piece of news is passed on: the more nodes, the oftener,
+    /// or it dies out before it has reached them all.
+    fn tells(&self) -> u32 {
+        let nodes = self.others.len() as u32 + 2;
+        self.timing.gossip_times.max(3 * nodes.ilog2())
+    }
+
+    /// A number that two nodes that know the same share.
+    fn digest(&self) -> u64 {
+        let mine = std::iter::once(&self.me);
+        mine.chain(self.members())
+            .map(|m| {
+                let mut hash = 0xcbf2_9ce4_8422_2325u64 ^ m.incarnation;
+                for b in m.address.bytes().chain([m.standing as u8]) {
+                    hash = (hash ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
+                }
+                hash
+            })
+            .fold(0, u64::wrapping_add)
+    }
+
+    /// A node that twice in a row met others who knew different things compares
+    /// notes with one of its region: news that died out on its way, or is too
+    /// much for the probes, arrives all the same, at no price between regions.
+    fn compare(&mut self, now: u64, from: &str, theirs: u64) {
+        if theirs == self.digest() {
+            self.differed = 0;
+            return;
+        }
+        self.differed += 1;
+        if self.differed >= 2 && now >= self.next_exchange {
+            self.differed = 0;
+            self.next_exchange = now + self.timing.exchange_every;
+            let region = self.me.region.clone();
+            let near: Vec<String> = self
+                .alive()
+                .filter(|m| m.region == region)
+                .map(|m| m.address.clone())
+                .collect();
+            let with = near.choose(&mut self.rng).cloned();
+            let with = with.unwrap_or_else(|| from.to_string());
+            self.send(with.clone(), NoticeKind::Join, 0, String::new());
+            self.tell_all(&with);
+        }
+    }
+
     /// Changes what this node says of itself; others are told.
     pub fn update_me(&mut self, change: impl FnOnce(&mut Member)) {
         let before = self.me.clone();
         change(&mut self.me);
         if self.me != before {
             self.me.incarnation += 1;
-            self.my_tell = self.timing.gossip_times;
+            self.my_tell = self.tells();
             self.changed = true;
             // News of oneself matters at once: a node that leaves is to be
             // left out of answers before it ends.
@@ -262,6 +315,7 @@
         match kind {
             NoticeKind::Probe => self.send(from.to_string(), NoticeKind::Ack, notice.seq, String::new()),
             NoticeKind::Ack => {
+                self.compare(now, from, notice.digest);
                 if let Some((to, seq, _)) = self.for_others.remove(&notice.seq) {
                     self.send(to, NoticeKind::Ack, seq, String::new());
                 }
@@ -314,7 +368,7 @@
             let wrong = news.standing() != Standing::Alive || news.id != self.me.id;
             if news.incarnation >= self.me.incarnation && wrong || news.incarnation > self.me.incarnation {
                 self.me.incarnation = news.incarnation + 1;
-                self.my_tell = self.timing.gossip_times;
+                self.my_tell = self.tells();
             }
             return;
         }
@@ -332,7 +386,7 @@
         self.changed = true;
         let entry = Entry {
             since: now,
-            tell: self.timing.gossip_times,
+            tell: self.tells(),
             member: news,
         };
         self.others.insert(entry.member.address.clone(), entry);
@@ -366,6 +420,7 @@
                 members.push(e.member.clone());
             }
         }
+        let digest = if kind == NoticeKind::Ack { self.digest() } else { 0 };
         self.out.push((
             to,
             Notice {
@@ -373,6 +428,7 @@
                 seq,
                 target,
                 members,
+                digest,
             },
         ));
     }
--- a/crates/callboard/src/notice.rs
+++ b/crates/callboard/src/notice.rs
@@ -82,4 +82,7 @@
     /// The sender and news of others.
     #[prost(message, repeated, tag = "4")]
     pub members: Vec<Member>,
+    /// Ack: what the sender knows of everybody, as one number.
+    #[prost(fixed64, tag = "5")]
+    pub digest: u64,
 }
--- a/crates/callboard/src/tests.rs
+++ b/crates/callboard/src/tests.rs
@@ -14,6 +14,7 @@
     gossip_members: 6,
     join_every: 300,
     rejoin_every: 3000,
+    exchange_every: 1000,
 };
 
 /// Boards on a simulated network that loses datagrams.
@@ -48,6 +49,7 @@
             address: name.into(),
             id: self.lives,
             incarnation: self.now + 1,
+            region: format!("r{}", self.lives % 3),
             ..Default::default()
         };
         let seeds = vec!["n0".to_string(), "n1".to_string(), "n2".to_string()];
@@ -136,3 +138,24 @@
     net.run(4000);
     assert!(net.all_see_all());
 }
+
+#[test]
+fn what_eighty_nodes_say_at_once_reaches_them_all() {
+    let mut net = Net::new(80, 0.02);
+    net.run(3000);
+    for board in net.boards.values_mut() {
+        board.update_me(|me| me.cluster = 7);
+    }
+    net.run(5000);
+    let lacking = |net: &Net| -> usize {
+        let knows = |b: &Board| b.members().filter(|m| m.cluster == 7).count();
+        net.boards.values().map(|b| 79 - knows(b)).sum()
+    };
+    assert_eq!(lacking(&net), 0);
+    // And nobody talks more than it must once all is known.
+    let before: usize = net.boards.values_mut().map(|b| b.take_out().len()).sum();
+    assert_eq!(before, 0);
+    net.run(1000);
+    let big = net.flights.iter().filter(|(.., n)| n.members.len() > 1).count();
+    assert_eq!(big, 0, "datagrams that still carry news");
+}
--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -57,7 +57,8 @@
 /// A removed node is forgotten after this time, ms: late gossip cannot bring
 /// it back before.
 pub const FORGET_MS: u64 = 20_000;
-/// How often one piece of news is passed on by each node, times.
+/// How often one piece of news is passed on by each node at least, times; in
+/// large systems three times the logarithm of their nodes.
 pub const GOSSIP_TIMES: u32 = 5;
 /// Members in one datagram, members: stays under a common packet size.
 pub const GOSSIP_MEMBERS: usize = 6;
@@ -67,6 +68,10 @@
 /// membership that a cut had split.
 pub const REJOIN_EVERY_MS: u64 = 3000;
 
+/// Least pause between two comparisons of all that two nodes know of the
+/// others, ms: some ten kilobytes, and only while they differ.
+pub const EXCHANGE_EVERY_MS: u64 = 1000;
+
 /// Connecting to a peer is given up after this time, ms.
 pub const CONNECT_MS: u64 = 1000;
 /// Connecting to another node is given up and begun anew after this time, ms:
--- a/crates/playhouse/src/conductor/tending.rs
+++ b/crates/playhouse/src/conductor/tending.rs
@@ -135,7 +135,12 @@
         let members = self.house.members.get();
         let seen: Vec<Seen> = members
             .iter()
-            .filter(|m| m.id != 0 && m.id != standing.id && m.cluster == standing.cluster)
+            .filter(|m| m.id != 0 && m.id != standing.id)
+            // Who has answered the log has joined, whether word of it came or not.
+            .filter(|m| {
+                let answered = self.prompter.progress(m.id).is_some_and(|p| p.matched > 0);
+                m.cluster == standing.cluster || m.cluster == 0 && answered
+            })
             .map(|m| Seen {
                 voter: Voter {
                     id: m.id,
--- a/crates/playhouse/src/lobby.rs
+++ b/crates/playhouse/src/lobby.rs
@@ -54,6 +54,7 @@
         gossip_members: c::GOSSIP_MEMBERS,
         join_every: c::JOIN_EVERY_MS,
         rejoin_every: c::REJOIN_EVERY_MS,
+        exchange_every: c::EXCHANGE_EVERY_MS,
     };
     let seeds = settings
         .seed_addresses()
