--- /dev/null
+++ b/crates/boxoffice/src/bench.rs
@@ -0,0 +1,221 @@
+//! Which workers get nothing for a while because they fail, or lag far behind
+//! their fellows. One node sees few requests of each worker; the leader sees
+//! them all. Health answers play no part: what requests show outweighs them.
+
+use playbill::constants as c;
+use playbill::letters::{short, Capacity};
+use playbill::Stage;
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Outcomes that fade.
+#[derive(Clone, Copy, Debug, Default)]
+struct Outcomes {
+    served: f64,
+    failed: f64,
+    answered_ms: f64,
+}
+
+impl Outcomes {
+    fn count(&self) -> f64 {
+        self.served + self.failed
+    }
+    fn failing(&self) -> f64 {
+        self.failed / self.count().max(1e-9)
+    }
+    fn mean_ms(&self) -> f64 {
+        self.answered_ms / self.served.max(1e-9)
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Sentence {
+    until: u64,
+    lasted: u64,
+}
+
+/// Outlier detection: outcomes by worker, and who sits on the bench.
+#[derive(Default)]
+pub struct Bench {
+    outcomes: BTreeMap<u32, Outcomes>,
+    sentences: BTreeMap<String, Sentence>,
+}
+
+fn median(mut of: Vec<f64>) -> f64 {
+    of.sort_by(f64::total_cmp);
+    of.get(of.len() / 2).copied().unwrap_or(0.0)
+}
+
+impl Bench {
+    pub fn take(&mut self, capacity: &[Capacity]) {
+        for w in capacity {
+            let o = self.outcomes.entry(w.worker).or_default();
+            o.served += w.served as f64;
+            o.failed += w.failed as f64;
+            o.answered_ms += f64::from(w.answer_ms) * w.served as f64;
+        }
+    }
+
+    /// Who is on the bench from now on.
+    pub fn decide(&mut self, now: u64, stage: &Stage) -> BTreeSet<String> {
+        for id in stage.benched.iter() {
+            // Benched by an earlier leader.
+            self.sentences.entry(id.clone()).or_insert(Sentence {
+                until: now + c::BENCH_MS,
+                lasted: c::BENCH_MS,
+            });
+        }
+        for (id, s) in &self.sentences {
+            if now < s.until {
+                // What it did before does not count when it comes back.
+                self.outcomes.remove(&short(id));
+            }
+        }
+        let mut on: BTreeSet<String> = BTreeSet::new();
+        let services: BTreeSet<&str> = stage.workers.values().map(|w| w.service.as_str()).collect();
+        for service in services {
+            self.judge(now, stage, service, &mut on);
+        }
+        for o in self.outcomes.values_mut() {
+            o.served *= c::BENCH_KEEP;
+            o.failed *= c::BENCH_KEEP;
+            o.answered_ms *= c::BENCH_KEEP;
+        }
+        self.outcomes.retain(|_, o| o.count() > 0.1);
+        self.sentences
+            .retain(|id, s| stage.workers.contains_key(id) && now < s.until + 2 * c::BENCH_MAX_MS);
+        on
+    }
+
+    fn judge(&mut self, now: u64, stage: &Stage, service: &str, on: &mut BTreeSet<String>) {
+        let workers: Vec<&str> = stage
+            .workers
+            .values()
+            .filter(|w| w.service == service && !w.draining)
+            .map(|w| w.id.as_str())
+            .collect();
+        let known: Vec<(&str, Outcomes)> = workers
+            .iter()
+            .filter_map(|id| Some((*id, *self.outcomes.get(&short(id))?)))
+            .filter(|(_, o)| o.count() >= c::BENCH_OUTCOMES)
+            .collect();
+        let failing = median(known.iter().map(|(_, o)| o.failing()).collect());
+        let answered = known.iter().filter(|(_, o)| o.served >= c::BENCH_OUTCOMES);
+        let usual_ms = median(answered.map(|(_, o)| o.mean_ms()).collect());
+        // A worker of a divided service that lags may only have busy keys.
+        let divided = stage
+            .config
+            .as_ref()
+            .and_then(|c| c.services.get(service))
+            .is_some_and(|s| s.partitioned);
+        let mut bad: Vec<(f64, &str)> = known
+            .iter()
+            .filter_map(|(id, o)| {
+                let fails = (o.failing() - failing) / c::BENCH_FAILED;
+                let slow = o.mean_ms() / (usual_ms.max(1.0) * c::BENCH_SLOW);
+                let slow = if divided || o.served < c::BENCH_OUTCOMES {
+                    0.0
+                } else {
+                    slow
+                };
+                let worst = fails.max(slow);
+                (worst > 1.0).then_some((worst, *id))
+            })
+            .collect();
+        bad.sort_by(|a, b| b.0.total_cmp(&a.0));
+        let room = (workers.len() as f64 * c::BENCH_CAP) as usize;
+        let sitting: Vec<&str> = workers
+            .iter()
+            .copied()
+            .filter(|id| self.sentences.get(*id).is_some_and(|s| now < s.until))
+            .collect();
+        let fresh = bad.iter().map(|(_, id)| *id).filter(|id| !sitting.contains(id));
+        let fresh: Vec<&str> = fresh.take(room.saturating_sub(sitting.len())).collect();
+        for id in fresh {
+            let lasted = self.sentences.get(id).map_or(c::BENCH_MS, |s| s.lasted * 2);
+            let lasted = lasted.min(c::BENCH_MAX_MS);
+            let until = now + lasted;
+            self.sentences.insert(id.to_string(), Sentence { until, lasted });
+            on.insert(id.to_string());
+        }
+        on.extend(sitting.into_iter().map(str::to_string));
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use playbill::letters::{ChangeKind, Worker, WorkersChange};
+    use playbill::stage::encode_change;
+    use std::sync::Arc;
+
+    fn stage(count: usize) -> Stage {
+        let mut stage = Stage::default();
+        let put = (0..count).map(|i| Worker {
+            id: format!("w{i}"),
+            service: "s".into(),
+            ..Default::default()
+        });
+        let put = put.collect();
+        stage.apply(
+            1,
+            &encode_change(ChangeKind::Workers(WorkersChange { put, gone: vec![] })),
+        );
+        stage
+    }
+
+    /// What a second of traffic shows when these workers fail two in five, and
+    /// those take eight times as long.
+    fn second(bench: &mut Bench, count: usize, grey: &[usize], slow: &[usize]) {
+        for i in 0..count {
+            let failed = if grey.contains(&i) { 4 } else { 0 };
+            bench.take(&[Capacity {
+                worker: short(&format!("w{i}")),
+                answer_ms: if slow.contains(&i) { 800.0 } else { 80.0 + i as f32 },
+                served: 10 - failed,
+                failed,
+            }]);
+        }
+    }
+
+    #[test]
+    fn workers_that_fail_or_lag_sit_out_and_longer_the_next_time() {
+        let mut stage = stage(20);
+        let mut bench = Bench::default();
+        let names = |set: &BTreeSet<String>| set.iter().cloned().collect::<Vec<_>>().join(" ");
+        let mut last_seen = 0;
+        for t in (0..20_000).step_by(500) {
+            second(&mut bench, 20, &[3], &[7]);
+            let on = bench.decide(t, &stage);
+            assert!(on.iter().all(|id| id == "w3" || id == "w7"), "{}", names(&on));
+            if on.contains("w3") && on.contains("w7") {
+                last_seen = t;
+            }
+            if t == 1000 {
+                assert_eq!(names(&on), "w3 w7");
+            }
+            stage.benched = Arc::new(on);
+        }
+        assert!(last_seen > 15_000, "what stays ill sits out again: {last_seen}");
+        // Well again: off the bench for good.
+        for t in (20_000..40_000).step_by(500) {
+            second(&mut bench, 20, &[], &[]);
+            stage.benched = Arc::new(bench.decide(t, &stage));
+        }
+        assert!(stage.benched.is_empty());
+    }
+
+    #[test]
+    fn what_strikes_all_benches_nobody_and_never_more_than_the_cap() {
+        let stage = stage(20);
+        let mut bench = Bench::default();
+        for t in (0..5000).step_by(500) {
+            second(&mut bench, 20, &(0..20).collect::<Vec<_>>(), &[]);
+            assert!(bench.decide(t, &stage).is_empty(), "all fail alike");
+        }
+        let mut bench = Bench::default();
+        for t in (0..5000).step_by(500) {
+            second(&mut bench, 20, &(0..9).collect::<Vec<_>>(), &[]);
+            assert!(bench.decide(t, &stage).len() <= 6);
+        }
+    }
+}
--- a/crates/boxoffice/src/ledger.rs
+++ b/crates/boxoffice/src/ledger.rs
@@ -11,6 +11,9 @@
     report: Report,
 }
 
+/// What a site carries of which nobody says how much it can, requests a second.
+const UNBOUNDED: f64 = 1e6;
+
 /// Rates, capacities and distances as the leader knows them.
 #[derive(Default)]
 pub struct Ledger {
@@ -49,13 +52,14 @@
     /// Closes the period that ends now: smooths the rates and returns what a
     /// decision rests on. A group that nobody reports of keeps a rate that
     /// fades, and never falls below the threshold for deletion, so that
-    /// silence alone takes no site from it.
+    /// silence alone takes no site from it. `sites_up` are the sites whose
+    /// proxies are up; without it, no proxies stand before a site's workers.
     pub fn inputs(
         &mut self,
         now: u64,
         stage: &Stage,
         zones: &BTreeMap<String, String>,
-        sites_up: &BTreeSet<String>,
+        sites_up: Option<&BTreeSet<String>>,
     ) -> Inputs {
         self.smooth(now);
         self.latest
@@ -93,10 +97,10 @@
                 .map(|l| l.report.carry)
                 .sum();
             // A site that is up but whose reports are missing counts as able.
-            let carry = match (sites_up.contains(site), told > 0.0) {
-                (false, _) => 0.0,
-                (true, true) => told,
-                (true, false) => 1e6,
+            let carry = match (sites_up.map(|up| up.contains(site)), told > 0.0) {
+                (Some(false), _) => 0.0,
+                (Some(true), true) => told,
+                (Some(true), false) | (None, _) => UNBOUNDED,
             };
             inputs.carry.insert(site.clone(), carry);
         }
@@ -160,7 +164,7 @@
         }
         for w in stage.workers.values() {
             let Some(site) = zones.get(&w.zone) else { continue };
-            if w.draining || stage.evacuated.contains_key(&w.zone) {
+            if w.draining || stage.evacuated.contains_key(&w.zone) || stage.benched.contains(&w.id) {
                 continue;
             }
             if let Some(Some(allowed)) = homes.get(w.service.as_str()) {
--- a/crates/boxoffice/src/lib.rs
+++ b/crates/boxoffice/src/lib.rs
@@ -5,11 +5,13 @@
 //! the project's design: a watermark-capped min-cost flow over merged groups,
 //! then a second flow that removes tiny flows, with hysteresis.
 
+mod bench;
 mod draw;
 mod flow;
 mod ledger;
 mod place;
 
+pub use bench::Bench;
 pub use draw::draw;
 pub use flow::Network;
 pub use ledger::{differs, Ledger};
--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -204,8 +204,42 @@
 pub const MOVE_PAUSE_MS: u64 = 500;
 /// Moves for balance begun together, moves.
 pub const MOVES: usize = 6;
+/// Connections to each worker that this node should be able to have if it is
+/// to use all of them, connections: with fewer it uses a part of the workers.
+pub const CONNECTIONS_EACH: u32 = 4;
+/// Workers of its own zone that a node uses if it cannot use all, workers:
+/// enough to even out, few enough that connections are used again.
+pub const WINDOW: usize = 12;
+/// The same in each other zone, for when its own has no room, workers.
+pub const FAR_WINDOW: usize = 4;
+/// Part of a worker's connections for the nodes of its own zone, and for all
+/// others; the rest is for nodes that count each other differently meanwhile.
+pub const NEAR_PART: f64 = 0.6;
+pub const FAR_PART: f64 = 0.3;
 /// Weight of the newest answer in a worker's mean answer time.
 pub const ANSWER_SMOOTHING: f64 = 0.1;
+/// Pause between two looks at which workers fail, ms.
+pub const BENCH_EVERY_MS: u64 = 500;
+/// What is kept of a worker's outcomes from one look to the next: some two
+/// seconds count.
+pub const BENCH_KEEP: f64 = 0.8;
+/// Outcomes before a worker is judged.
+pub const BENCH_OUTCOMES: f64 = 4.0;
+/// Part of failures above what is usual in its service that benches a worker.
+pub const BENCH_FAILED: f64 = 0.2;
+/// How many times slower than is usual in its service benches a worker.
+pub const BENCH_SLOW: f64 = 4.0;
+/// Most workers of a service on the bench, part of them: what strikes more is
+/// no fault of single workers.
+pub const BENCH_CAP: f64 = 0.3;
+/// How long a worker is benched at first, ms; twice that the next time.
+pub const BENCH_MS: u64 = 3000;
+/// Longest time on the bench, ms.
+pub const BENCH_MAX_MS: u64 = 12_000;
+/// How long a worker that has come back is preferred less, ms.
+pub const TRIAL_MS: u64 = 2000;
+/// How many times dearer it is at first.
+pub const TRIAL_PRICE: f64 = 4.0;
 /// A worker that failed in a row is left alone for this long at first, ms.
 pub const EJECT_MS: u64 = 500;
 /// Longest time a worker is left alone, ms.
--- a/crates/playbill/src/letters.rs
+++ b/crates/playbill/src/letters.rs
@@ -101,6 +101,7 @@
 pub struct Report {
     #[prost(string, tag = "1")]
     pub zone: String,
+    /// The site: the region, or the zone where zones are the sites.
     #[prost(string, tag = "2")]
     pub region: String,
     /// The span that the counts cover, in milliseconds.
@@ -255,7 +256,7 @@
 /// One change to the control state, as the log orders it.
 #[derive(Clone, PartialEq, Message)]
 pub struct Change {
-    #[prost(oneof = "ChangeKind", tags = "1, 2, 3, 4, 5, 6")]
+    #[prost(oneof = "ChangeKind", tags = "1, 2, 3, 4, 5, 6, 7")]
     pub kind: Option<ChangeKind>,
 }
 
@@ -273,6 +274,8 @@
     Placement(PlacementChange),
     #[prost(message, tag = "6")]
     Allowance(AllowanceChange),
+    #[prost(message, tag = "7")]
+    Bench(BenchChange),
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
@@ -361,6 +364,13 @@
     pub fractions: Vec<Fraction>,
 }
 
+/// All workers that get nothing for now because they fail or lag.
+#[derive(Clone, PartialEq, Message)]
+pub struct BenchChange {
+    #[prost(string, repeated, tag = "1")]
+    pub workers: Vec<String>,
+}
+
 /// The share of the slack of the retry budget that each named node may use.
 #[derive(Clone, PartialEq, Message)]
 pub struct AllowanceChange {
@@ -403,6 +413,8 @@
     /// The `modify` that the configuration was made by, if it was.
     #[prost(bytes = "vec", tag = "11")]
     pub amendment: Vec<u8>,
+    #[prost(string, repeated, tag = "12")]
+    pub benched: Vec<String>,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/playbill/src/settings.rs
+++ b/crates/playbill/src/settings.rs
@@ -81,6 +81,23 @@
 pub struct Platform {
     #[validate(nested)]
     pub cloud_api: CloudApi,
+    /// How clients arrive: by the `directory`, or at an address of the platform.
+    #[serde(default = "directory")]
+    pub entry: String,
+    /// The kind of deployment.
+    #[serde(default = "global")]
+    pub rollout: String,
+}
+
+/// The kinds of deployment that this program serves.
+const ROLLOUTS: [&str; 2] = ["global", "api"];
+
+fn directory() -> String {
+    "directory".into()
+}
+
+fn global() -> String {
+    "global".into()
 }
 
 #[derive(Clone, Debug, Deserialize, Validate)]
@@ -184,6 +201,13 @@
         if first == 0 || first > last {
             return Err("settings: Network.InternalPorts must be a range of ports above 0".into());
         }
+        if !ROLLOUTS.contains(&self.platform.rollout.as_str()) {
+            return Err(format!(
+                "settings: Platform.Rollout `{}` is not served here; known are {}",
+                self.platform.rollout,
+                ROLLOUTS.join(" and ")
+            ));
+        }
         match self.network.zones.get(&self.own_entity.zone) {
             Some(region) if *region == self.own_entity.region => Ok(()),
             Some(_) => {
@@ -193,6 +217,30 @@
         }
     }
 
+    /// Whether the placement's sites are zones rather than regions: without a
+    /// directory the nodes themselves point each request at a site, and the
+    /// sites are the zones that its workers are in.
+    pub fn zones_are_sites(&self) -> bool {
+        self.platform.entry != directory()
+    }
+
+    /// The site of a place.
+    pub fn site<'a>(&self, zone: &'a str, region: &'a str) -> &'a str {
+        if self.zones_are_sites() {
+            zone
+        } else {
+            region
+        }
+    }
+
+    /// The site of every zone.
+    pub fn sites(&self) -> BTreeMap<String, String> {
+        let zones = self.network.zones.iter();
+        zones
+            .map(|(zone, region)| (zone.clone(), self.site(zone, region).to_string()))
+            .collect()
+    }
+
     /// The address on which this node speaks to the other nodes.
     pub fn internal_address(&self) -> SocketAddrV4 {
         SocketAddrV4::new(self.own_entity.ip_address, self.network.internal_ports[0])
--- a/crates/playbill/src/stage.rs
+++ b/crates/playbill/src/stage.rs
@@ -5,7 +5,7 @@
 use crate::config::{Configuration, Fault};
 use crate::letters::*;
 use prost::Message;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// The number of keys of a partitioned service.
@@ -35,9 +35,11 @@
     pub evacuated: BTreeMap<String, u32>,
     /// Zones taken back from an evacuation, with the index of the change.
     pub returned: BTreeMap<String, u64>,
-    pub workers: BTreeMap<String, Arc<Worker>>,
+    pub workers: Arc<BTreeMap<String, Arc<Worker>>>,
     /// Holdings by service, ordered by their first key.
-    pub holdings: BTreeMap<String, BTreeMap<u32, Holding>>,
+    pub holdings: BTreeMap<String, Arc<BTreeMap<u32, Holding>>>,
+    /// Workers that fail or lag behind their fellows.
+    pub benched: Arc<BTreeSet<String>>,
     pub fractions: Arc<Vec<Fraction>>,
     pub allowances: BTreeMap<u64, f64>,
 }
@@ -136,12 +138,13 @@
                 }
             }
             Some(ChangeKind::Workers(w)) => {
+                let workers = Arc::make_mut(&mut self.workers);
                 for id in &w.gone {
-                    self.workers.remove(id);
+                    workers.remove(id);
                 }
                 for mut worker in w.put {
                     worker.cold_at = index;
-                    self.workers.insert(worker.id.clone(), Arc::new(worker));
+                    workers.insert(worker.id.clone(), Arc::new(worker));
                 }
                 Outcome::Applied
             }
@@ -159,6 +162,10 @@
                 self.allowances = a.put.into_iter().map(|x| (x.node, x.slack)).collect();
                 Outcome::Applied
             }
+            Some(ChangeKind::Bench(b)) => {
+                self.benched = Arc::new(b.workers.into_iter().collect());
+                Outcome::Applied
+            }
             None => Outcome::Applied,
         }
     }
@@ -173,7 +180,7 @@
 
     /// Puts a range, cutting away what it covers of older ranges.
     fn put_holding(&mut self, new: Holding) {
-        let table = self.holdings.entry(new.service.clone()).or_default();
+        let table = Arc::make_mut(self.holdings.entry(new.service.clone()).or_default());
         let touched: Vec<Holding> = table
             .values()
             .filter(|h| h.from <= new.to && h.to >= new.from)
@@ -226,6 +233,7 @@
             configuration: self.config_body.to_vec(),
             base: self.config_base,
             amendment: self.config_amendment.to_vec(),
+            benched: self.benched.iter().cloned().collect(),
             evacuated: self
                 .evacuated
                 .iter()
@@ -271,21 +279,21 @@
                     all
                 }),
             returned: image.returned.into_iter().map(|r| (r.zone, r.index)).collect(),
-            workers: image
-                .workers
-                .into_iter()
-                .map(|w| (w.id.clone(), Arc::new(w)))
-                .collect(),
+            workers: Arc::new(
+                image
+                    .workers
+                    .into_iter()
+                    .map(|w| (w.id.clone(), Arc::new(w)))
+                    .collect(),
+            ),
+            benched: Arc::new(image.benched.into_iter().collect()),
             holdings: BTreeMap::new(),
             fractions: Arc::new(image.fractions),
             allowances: image.allowances.into_iter().map(|a| (a.node, a.slack)).collect(),
         };
         for h in image.holdings {
-            stage
-                .holdings
-                .entry(h.service.clone())
-                .or_default()
-                .insert(h.from, h);
+            let table = stage.holdings.entry(h.service.clone()).or_default();
+            Arc::make_mut(table).insert(h.from, h);
         }
         Some(stage)
     }
--- a/crates/playhouse/src/desk.rs
+++ b/crates/playhouse/src/desk.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use usher::{Found, Neighbours, Observed, Request, Usher};
+use usher::{Found, Neighbours, Observed, Place, Request, Usher};
 
 inventory::submit! { Plugin { name: "desk", order: 70, start } }
 
@@ -130,17 +130,34 @@
 
     fn neighbours(&mut self) {
         let members = self.house.members.get();
-        let zone = self.house.settings.get().own_entity.zone.clone();
-        let edges = members.iter().filter(|m| !m.front.is_empty());
-        let in_zone = edges.clone().filter(|m| m.zone == zone).count().max(1);
+        let own = &self.house.settings.get().own_entity;
+        let edges = || members.iter().filter(|m| !m.front.is_empty());
+        let here = || edges().filter(|m| m.zone == own.zone);
+        let place = Place {
+            edges: edges().count().max(1),
+            number: edges().filter(|m| m.name < own.node_name).count(),
+            in_zone: here().count().max(1),
+            number_in_zone: here().filter(|m| m.name < own.node_name).count(),
+        };
         self.usher.set_neighbours(Neighbours {
-            edges: edges.count().max(1),
-            in_zone,
+            place,
             me: self.house.standing.get().id,
             rtt: (*self.house.rtt.get()).clone(),
         });
     }
 
+    /// Where zones are the sites there is no directory to point clients at one:
+    /// each request is pointed at a zone of workers instead.
+    fn draw_zone(&self, service: &str, key: Option<u32>) -> Option<String> {
+        let settings = self.house.settings.get();
+        if key.is_some() || !settings.zones_are_sites() {
+            return None;
+        }
+        let chance = rand::thread_rng().gen();
+        let group = &settings.own_entity.zone;
+        boxoffice::draw(&self.stage.fractions, service, group, chance, |_| true).map(str::to_string)
+    }
+
     fn report(&mut self) {
         let now = self.house.now();
         let span_ms = now - self.reported;
@@ -169,7 +186,9 @@
         }
         let mut report = Report {
             zone: settings.own_entity.zone.clone(),
-            region: settings.own_entity.region.clone(),
+            region: settings
+                .site(&settings.own_entity.zone, &settings.own_entity.region)
+                .to_string(),
             span_ms,
             demand: std::mem::take(&mut self.demand)
                 .into_iter()
@@ -246,12 +265,14 @@
                     .or_default() += 1;
             }
         }
+        let zone = self.draw_zone(&msg.service, msg.key);
         let request = Request {
             route: &msg.route,
             key: msg.key,
             service: &msg.service,
             tried: &msg.tried,
             left_ms: msg.left_ms,
+            zone: zone.as_deref(),
         };
         MessageResult(self.usher.choose(self.house.now(), &request))
     }
--- a/crates/playhouse/src/front.rs
+++ b/crates/playhouse/src/front.rs
@@ -215,6 +215,9 @@
         let mut body = Some(body);
         let mut tried: Vec<String> = Vec::new();
         let mut sent = false;
+        // What the first worker answered, if it was an error and nobody else
+        // can do better.
+        let mut erred: Option<Response<BoxBody>> = None;
         loop {
             let left = task.ends.saturating_duration_since(Instant::now());
             if left.is_zero() {
@@ -232,7 +235,7 @@
                 Ok(Found::Worker(choice)) => choice,
                 Ok(Found::Nobody(wait)) if !sent => return Err(self.give_up("refused_nobody", wait)),
                 Ok(Found::Spent) if !sent => return Err(self.give_up("refused_budget", c::RETRY_AFTER_MS)),
-                _ => return Err(plain(StatusCode::BAD_GATEWAY, "the worker failed")),
+                _ => return erred.ok_or_else(|| plain(StatusCode::BAD_GATEWAY, "the worker failed")),
             };
             let seat = Seat {
                 desk: self.desk.clone(),
@@ -251,6 +254,13 @@
             match self.one_try(request, &task, &choice, sending, left, seat).await {
                 Try::Answered(response) => return Ok(response),
                 Try::Late => return Err(self.too_late(true)),
+                Try::Erred(response) => {
+                    if tries >= task.route.attempts || !again {
+                        return Ok(response);
+                    }
+                    sent = true;
+                    erred = Some(response);
+                }
                 Try::NotRun => {
                     if tries >= task.route.attempts || !again {
                         return Err(if sent {
@@ -315,7 +325,7 @@
                 };
             }
             Err(_) => {
-                seat.end(Observed::Abandoned);
+                seat.end(Observed::Late);
                 return Try::Late;
             }
         };
@@ -337,6 +347,13 @@
             return Try::MayHaveRun;
         }
         let took = begun.elapsed().as_secs_f64() * 1000.0 - choice.rtt_ms;
+        if answer.status.is_server_error() && matches!(answer.body, AnswerBody::Whole(_)) {
+            seat.end(Observed::Erred(took.max(1.0)));
+            if !once {
+                let is_head = request.method() == Method::HEAD;
+                return Try::Erred(client_answer(answer, is_head, seat, took.max(1.0), task.ends));
+            }
+        }
         Try::Answered(client_answer(
             answer,
             request.method() == Method::HEAD,
@@ -349,6 +366,8 @@
 
 enum Try {
     Answered(Response<BoxBody>),
+    /// An error of the worker's own, to a request that may run again.
+    Erred(Response<BoxBody>),
     NotRun,
     MayHaveRun,
     Late,
--- a/crates/playhouse/src/kernel.rs
+++ b/crates/playhouse/src/kernel.rs
@@ -43,7 +43,7 @@
     pub counters_every_s: u64,
     pub stage: Published<Stage>,
     pub members: Published<Vec<callboard::Member>>,
-    /// Round trips to regions, in ms.
+    /// Round trips to sites, in ms.
     pub rtt: Published<BTreeMap<String, f64>>,
     pub standing: Published<Standing>,
     /// The address of the voter that this node follows, if it does not vote.
--- a/crates/playhouse/src/lobby.rs
+++ b/crates/playhouse/src/lobby.rs
@@ -128,10 +128,12 @@
     }
 
     fn publish_rtt(&self) {
+        let settings = self.house.settings.get();
         let mut sums: BTreeMap<String, (f64, f64)> = BTreeMap::new();
         for m in self.board.alive() {
             if let Some(rtt) = self.board.rtt(&m.address) {
-                let sum = sums.entry(m.region.clone()).or_default();
+                let site = settings.site(&m.zone, &m.region).to_string();
+                let sum = sums.entry(site).or_default();
                 sum.0 += rtt;
                 sum.1 += 1.0;
             }
--- a/crates/playhouse/src/placement.rs
+++ b/crates/playhouse/src/placement.rs
@@ -3,9 +3,11 @@
 use crate::conductor::{Conductor, Lease, Propose};
 use crate::kernel::{House, Plugin};
 use actix::prelude::*;
-use boxoffice::{Ledger, Options, Placement};
+use boxoffice::{Bench, Ledger, Options, Placement};
 use playbill::constants as c;
-use playbill::letters::{Allowance, AllowanceChange, ChangeKind, Fraction, PlacementChange, Report};
+use playbill::letters::{
+    Allowance, AllowanceChange, BenchChange, ChangeKind, Fraction, PlacementChange, Report,
+};
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
@@ -16,6 +18,7 @@
     let treasurer = Treasurer {
         house: house.clone(),
         ledger: Ledger::default(),
+        bench: Bench::default(),
         decided: 0,
         version: 0,
         sites: BTreeSet::new(),
@@ -38,6 +41,7 @@
 pub struct Treasurer {
     house: Rc<House>,
     ledger: Ledger,
+    bench: Bench,
     decided: u64,
     version: u64,
     sites: BTreeSet<String>,
@@ -48,13 +52,14 @@
 impl Actor for Treasurer {
     type Context = Context<Self>;
     fn started(&mut self, ctx: &mut Self::Context) {
-        ctx.run_interval(Duration::from_millis(c::LIST_EVERY_MS), |me, ctx| me.round(ctx));
+        ctx.run_interval(Duration::from_millis(c::BENCH_EVERY_MS), |me, ctx| me.round(ctx));
     }
 }
 
 impl Handler<Reported> for Treasurer {
     type Result = ();
     fn handle(&mut self, msg: Reported, _: &mut Self::Context) {
+        self.bench.take(&msg.report.capacity);
         self.ledger.take(self.house.now(), msg.node, msg.report);
     }
 }
@@ -71,7 +76,10 @@
             if !matches!(lease, Ok(Some(_))) {
                 return;
             }
-            let change = me.decide().or_else(|| me.share_slack());
+            let change = me
+                .judge_workers()
+                .or_else(|| me.decide())
+                .or_else(|| me.share_slack());
             if let (Some(change), Some(conductor)) = (change, me.house.get::<Addr<Conductor>>()) {
                 me.busy = true;
                 ctx.spawn(
@@ -92,13 +100,14 @@
         if stage.config.is_none() || stage.workers.is_empty() {
             return None;
         }
+        let settings = self.house.settings.get();
         let sites: BTreeSet<String> = self
             .house
             .members
             .get()
             .iter()
             .filter(|m| m.is_alive() && m.ready && !m.front.is_empty())
-            .map(|m| m.region.clone())
+            .map(|m| settings.site(&m.zone, &m.region).to_string())
             .collect();
         let able = stage
             .workers
@@ -112,8 +121,13 @@
         if !due {
             return None;
         }
-        let zones = self.house.settings.get().network.zones.clone();
-        let inputs = self.ledger.inputs(now, &stage, &zones, &sites);
+        let zones = settings.sites();
+        // A site's proxies carry what its clients send. Where each request is
+        // pointed at workers, those of a zone serve without its proxies.
+        let through_proxies = !settings.zones_are_sites();
+        let inputs = self
+            .ledger
+            .inputs(now, &stage, &zones, through_proxies.then_some(&sites));
         (self.decided, self.version, self.sites, self.workers) = (now, stage.version(), sites, able);
         let mut before = Placement::new();
         for f in stage.fractions.iter() {
@@ -147,6 +161,19 @@
         Some(ChangeKind::Placement(PlacementChange { fractions }))
     }
 
+    /// Benches workers that fail or lag, and takes them back.
+    fn judge_workers(&mut self) -> Option<ChangeKind> {
+        let stage = self.house.stage.get();
+        let on = self.bench.decide(self.house.now(), &stage);
+        if on == *stage.benched {
+            return None;
+        }
+        log::info!("event=bench workers={on:?}");
+        self.house.counters.add("bench_changes");
+        let workers = on.into_iter().collect();
+        Some(ChangeKind::Bench(BenchChange { workers }))
+    }
+
     /// Divides the slack of the retry budget among the edge nodes that are up.
     /// A node that is not named has none.
     fn share_slack(&self) -> Option<ChangeKind> {
--- a/crates/usher/src/lib.rs
+++ b/crates/usher/src/lib.rs
@@ -3,7 +3,9 @@
 //! its own counts and on its share of what all nodes may do together.
 
 mod budget;
+mod pool;
 mod seats;
 
 pub use budget::Budget;
+pub use pool::{Place, Pool};
 pub use seats::{Choice, Found, Neighbours, Observed, Request, Usher};
--- a/crates/usher/src/seats.rs
+++ b/crates/usher/src/seats.rs
@@ -1,4 +1,5 @@
 use crate::budget::Budget;
+use crate::pool::{Place, Pool};
 use playbill::config::{Route, RouteKind};
 use playbill::constants as c;
 use playbill::letters::Worker;
@@ -7,18 +8,16 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
 use std::sync::Arc;
 
 /// What this node knows of the other nodes, as far as shares depend on it.
 #[derive(Clone, Debug)]
 pub struct Neighbours {
-    /// Edge nodes in all, this one included.
-    pub edges: usize,
-    /// Edge nodes in this node's zone, this one included.
-    pub in_zone: usize,
+    pub place: Place,
     /// This node's identity.
     pub me: u64,
-    /// Measured round trips to regions, in ms.
+    /// Measured round trips to sites, in ms.
     pub rtt: BTreeMap<String, f64>,
 }
 
@@ -31,6 +30,9 @@
     /// Workers that had this try already.
     pub tried: &'a [String],
     pub left_ms: u64,
+    /// The zone whose workers the placement points this request at, where
+    /// zones are the sites; without one, the node's own.
+    pub zone: Option<&'a str>,
 }
 
 /// The worker chosen.
@@ -56,12 +58,16 @@
 pub enum Observed {
     /// Answered after this many ms.
     Answered(f64),
+    /// Answered after this many ms, by an error of the worker's own.
+    Erred(f64),
     /// Turned away without being run.
     TurnedAway,
     /// It is another worker, or does not hold the key.
     Elsewhere,
     /// No connection, or none that answered.
     Failed,
+    /// It had not answered when the time was up.
+    Late,
     /// We gave it up ourselves.
     Abandoned,
 }
@@ -80,6 +86,8 @@
     answered_at: u64,
     failures: u32,
     left_alone_until: u64,
+    /// Until when it is preferred less, since it was on the bench.
+    trial_until: u64,
     served: u64,
     failed: u64,
     /// Sum of the answer times since the last report, in ms.
@@ -95,10 +103,21 @@
     stage: Arc<Stage>,
     seats: HashMap<String, Seat>,
     by_service: HashMap<String, Vec<String>>,
+    /// Which workers of a service this node uses; made when first needed.
+    pools: HashMap<String, Rc<Pool>>,
     budgets: HashMap<String, Budget>,
     rng: SmallRng,
 }
 
+/// How long a worker whose zone was taken back is cold, in ms.
+fn returned_cold(stage: &Stage, worker: &Worker) -> u64 {
+    let service = stage
+        .config
+        .as_ref()
+        .and_then(|c| c.services.get(worker.service.as_str()));
+    service.map_or(0, |s| s.cold_period_ms).max(c::RETURN_COLD_MS) + c::COLD_MARGIN_MS
+}
+
 impl Usher {
     pub fn new(zone: &str, zones: BTreeMap<String, String>, bounds: Bounds, seed: u64) -> Usher {
         Usher {
@@ -107,25 +126,60 @@
             zones,
             bounds,
             neighbours: Neighbours {
-                edges: 1,
-                in_zone: 1,
+                place: Place {
+                    edges: 1,
+                    in_zone: 1,
+                    ..Default::default()
+                },
                 me: 0,
                 rtt: BTreeMap::new(),
             },
             stage: Arc::default(),
             seats: HashMap::new(),
             by_service: HashMap::new(),
+            pools: HashMap::new(),
             budgets: HashMap::new(),
             rng: SmallRng::seed_from_u64(seed),
         }
     }
 
     pub fn set_neighbours(&mut self, neighbours: Neighbours) {
+        if self.neighbours.place != neighbours.place {
+            self.pools.clear();
+        }
         self.neighbours = neighbours;
     }
 
-    /// Takes a newer copy of the control state; returns the workers that are gone.
+    /// Takes a newer copy of the control state; returns the workers that are
+    /// gone. What has not changed costs nothing.
     pub fn set_stage(&mut self, now: u64, stage: Arc<Stage>) -> Vec<String> {
+        let before = std::mem::replace(&mut self.stage, stage.clone());
+        let same_config = match (&before.config, &stage.config) {
+            (Some(a), Some(b)) => Arc::ptr_eq(a, b),
+            (a, b) => a.is_none() && b.is_none(),
+        };
+        if !same_config {
+            self.pools.clear();
+        }
+        let mut gone = Vec::new();
+        if !Arc::ptr_eq(&before.workers, &stage.workers) || self.seats.is_empty() {
+            gone = self.take_workers(now, &stage);
+        }
+        if before.returned != stage.returned {
+            self.note_returned(now, &stage);
+        }
+        if !Arc::ptr_eq(&before.benched, &stage.benched) {
+            for id in before.benched.difference(&stage.benched) {
+                if let Some(seat) = self.seats.get_mut(id) {
+                    seat.trial_until = now + c::TRIAL_MS;
+                    seat.failures = 0;
+                }
+            }
+        }
+        gone
+    }
+
+    fn take_workers(&mut self, now: u64, stage: &Stage) -> Vec<String> {
         let gone: Vec<String> = self
             .seats
             .keys()
@@ -135,9 +189,18 @@
         for id in &gone {
             self.seats.remove(id);
         }
-        for (id, worker) in &stage.workers {
+        let mut means: HashMap<&str, f64> = HashMap::new();
+        for (id, worker) in stage.workers.iter() {
+            if self.seats.get(id).is_some_and(|s| Arc::ptr_eq(&s.worker, worker)) {
+                continue;
+            }
             let region = self.zones.get(&worker.zone).cloned().unwrap_or_default();
-            let mean = self.mean_answer(&worker.service);
+            let mean = match means.get(worker.service.as_str()) {
+                Some(mean) => *mean,
+                None => self.mean_answer(&worker.service),
+            };
+            means.insert(&worker.service, mean);
+            let returned = stage.returned.get(&worker.zone).copied().unwrap_or(0);
             let seat = self.seats.entry(id.clone()).or_insert_with(|| Seat {
                 worker: worker.clone(),
                 region,
@@ -151,6 +214,7 @@
                 answered_at: now,
                 failures: 0,
                 left_alone_until: 0,
+                trial_until: 0,
                 served: 0,
                 failed: 0,
                 answered_ms: 0.0,
@@ -160,20 +224,13 @@
                 seat.cold_seen = worker.cold_at;
                 seat.cold_until = seat.cold_until.max(now + worker.cold_ms + c::COLD_MARGIN_MS);
             }
-            let returned = stage.returned.get(&worker.zone).copied().unwrap_or(0);
             if returned > seat.returned_seen {
                 seat.returned_seen = returned;
-                let period = stage
-                    .config
-                    .as_ref()
-                    .and_then(|c| c.services.get(worker.service.as_str()))
-                    .map_or(0, |s| s.cold_period_ms);
-                seat.cold_until = seat
-                    .cold_until
-                    .max(now + period.max(c::RETURN_COLD_MS) + c::COLD_MARGIN_MS);
+                seat.cold_until = seat.cold_until.max(now + returned_cold(stage, worker));
             }
         }
         self.by_service.clear();
+        self.pools.clear();
         for (id, seat) in &self.seats {
             self.by_service
                 .entry(seat.worker.service.clone())
@@ -183,10 +240,43 @@
         for ids in self.by_service.values_mut() {
             ids.sort_unstable();
         }
-        self.stage = stage;
         gone
     }
 
+    /// Workers of a zone that was taken back are cold at first.
+    fn note_returned(&mut self, now: u64, stage: &Stage) {
+        for seat in self.seats.values_mut() {
+            let returned = stage.returned.get(&seat.worker.zone).copied().unwrap_or(0);
+            if returned > seat.returned_seen {
+                seat.returned_seen = returned;
+                seat.cold_until = seat.cold_until.max(now + returned_cold(stage, &seat.worker));
+            }
+        }
+    }
+
+    /// The workers of a service that this node uses.
+    fn pool(&mut self, service: &str) -> Option<Rc<Pool>> {
+        if let Some(pool) = self.pools.get(service) {
+            return Some(pool.clone());
+        }
+        let known = self.stage.config.as_ref()?.services.get(service)?;
+        let workers: Vec<Arc<Worker>> = self
+            .by_service
+            .get(service)?
+            .iter()
+            .filter_map(|id| self.seats.get(id).map(|s| s.worker.clone()))
+            .collect();
+        let pool = Rc::new(Pool::new(
+            &workers,
+            &self.zone,
+            known.connection_limit,
+            known.partitioned,
+            self.neighbours.place,
+        ));
+        self.pools.insert(service.to_string(), pool.clone());
+        Some(pool)
+    }
+
     fn mean_answer(&self, service: &str) -> f64 {
         let known: Vec<f64> = self
             .seats
@@ -286,9 +376,9 @@
             .and_then(|c| c.services.get(seat.worker.service.as_str()))
             .map_or(0.0, |s| s.cold_rate);
         let sharers = if keyed {
-            self.neighbours.edges
+            self.neighbours.place.edges
         } else {
-            self.neighbours.in_zone
+            self.neighbours.place.in_zone
         };
         let share = rate * c::COLD_PART / sharers.max(1) as f64;
         if share <= 0.0 {
@@ -299,7 +389,7 @@
     }
 
     /// Whether a worker may be given a request at all.
-    fn may(&self, now: u64, seat: &Seat, request: &Request) -> bool {
+    fn may(&self, now: u64, seat: &Seat, each: u32, request: &Request) -> bool {
         let w = &seat.worker;
         let homes = &request.route.homes;
         let cold = now < seat.cold_until;
@@ -307,60 +397,53 @@
             && !self.stage.evacuated.contains_key(&w.zone)
             && (homes.is_empty() || homes.contains(&seat.region))
             && !request.tried.contains(&w.id)
-            && seat.inflight < self.connections(&w.service)
+            && seat.inflight < each
             && (!cold || now >= seat.next_cold && (request.key.is_some() || w.zone == self.zone))
     }
 
-    /// This node's share of the connections that a worker accepts.
-    fn connections(&self, service: &str) -> u32 {
-        let limit = self
-            .stage
-            .config
-            .as_ref()
-            .and_then(|c| c.services.get(service))
-            .map_or(1, |s| s.connection_limit);
-        (limit / (self.neighbours.edges as u32 + 1)).max(1)
-    }
-
     fn candidate(&mut self, now: u64, request: &Request) -> Option<String> {
+        let pool = self.pool(request.service)?;
         if let Some(key) = request.key {
             let holding = self.stage.holding(request.service, key)?;
             if holding.leaving || holding.worker.is_empty() {
                 return None;
             }
             let seat = self.seats.get(&holding.worker)?;
+            let each = pool.members.first().map_or(1, |(_, each)| *each);
             let free = (now >= seat.left_alone_until || seat.inflight == 0) && !self.hopeless(seat, request);
-            return (free && self.may(now, seat, request)).then(|| holding.worker.clone());
+            return (free && self.may(now, seat, each, request)).then(|| holding.worker.clone());
         }
-        let ids = self.by_service.get(request.service)?;
-        let mut best: Option<(f64, &String)> = None;
-        let mut spare: Option<&String> = None;
-        for id in ids {
-            let Some(seat) = self.seats.get(id) else { continue };
-            if !self.may(now, seat, request) {
+        let mut best: Option<(f64, &Arc<Worker>)> = None;
+        let mut spare: Option<&Arc<Worker>> = None;
+        for (worker, each) in &pool.members {
+            let Some(seat) = self.seats.get(&worker.id) else {
                 continue;
-            }
-            if self.hopeless(seat, request) {
+            };
+            if !self.may(now, seat, *each, request) || self.hopeless(seat, request) {
                 continue;
             }
-            if now < seat.left_alone_until {
+            if now < seat.left_alone_until || self.stage.benched.contains(&worker.id) {
                 // A worker left alone is tried only when there is no other.
                 if seat.inflight == 0 && spare.is_none() {
-                    spare = Some(id);
+                    spare = Some(worker);
                 }
                 continue;
             }
-            let cost = self.cost(seat, request.route) * self.rng.gen_range(0.95..1.05);
+            let mut cost = self.cost(seat, request) * self.rng.gen_range(0.95..1.05);
+            if now < seat.trial_until {
+                let left = (seat.trial_until - now) as f64 / c::TRIAL_MS as f64;
+                cost *= 1.0 + (c::TRIAL_PRICE - 1.0) * left;
+            }
             if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, id));
+                best = Some((cost, worker));
             }
         }
-        best.map(|(_, id)| id).or(spare).cloned()
+        best.map(|(_, w)| w).or(spare).map(|w| w.id.clone())
     }
 
     /// When a worker is expected to answer, in ms, as far as this node sees.
     fn expected(&self, seat: &Seat) -> f64 {
-        let load = f64::from(seat.inflight) * self.neighbours.in_zone.max(1) as f64;
+        let load = f64::from(seat.inflight) * self.neighbours.place.in_zone.max(1) as f64;
         let used = load / f64::from(seat.worker.slots.max(1));
         seat.answer_ms * (1.0 + 0.3 * used + (used - 1.0).max(0.0))
     }
@@ -374,10 +457,10 @@
 
     /// What sending a request there costs, in ms: the expected answer time and
     /// a price for leaving the zone or the region.
-    fn cost(&self, seat: &Seat, route: &Route) -> f64 {
+    fn cost(&self, seat: &Seat, request: &Request) -> f64 {
         let answer = self.expected(seat);
-        let aim = route.aim_ms as f64;
-        let distance = if seat.worker.zone == self.zone {
+        let aim = request.route.aim_ms as f64;
+        let distance = if seat.worker.zone == request.zone.unwrap_or(&self.zone) {
             0.0
         } else if seat.region == self.region {
             c::NEAR_MS + c::ZONE_PENALTY * aim
@@ -432,7 +515,19 @@
                 seat.answered_at = now;
                 seat.answer_ms += (ms - seat.answer_ms) * c::ANSWER_SMOOTHING;
             }
+            Observed::Erred(ms) => {
+                seat.known = true;
+                seat.answered_at = now;
+                seat.answer_ms += (ms - seat.answer_ms) * c::ANSWER_SMOOTHING;
+                seat.failed += 1;
+                seat.failures += 1;
+                if seat.failures > 1 {
+                    seat.left_alone_until = seat.left_alone_until.max(now + c::EJECT_MS);
+                }
+            }
+            Observed::Late => seat.failed += 1,
             Observed::TurnedAway => {
+                seat.failed += 1;
                 seat.left_alone_until = seat.left_alone_until.max(now + c::FULL_MS);
             }
             Observed::Failed => {
@@ -535,8 +630,11 @@
         let mut usher = Usher::new("z1", zones, bounds, 1);
         usher.set_stage(0, Arc::new(stage.clone()));
         usher.set_neighbours(Neighbours {
-            edges: 3,
-            in_zone: 3,
+            place: Place {
+                edges: 3,
+                in_zone: 3,
+                ..Default::default()
+            },
             me: 7,
             rtt: BTreeMap::new(),
         });
@@ -554,6 +652,7 @@
                 service: "s",
                 tried,
                 left_ms: 2000,
+                zone: None,
             },
         )
     }
@@ -650,6 +749,7 @@
                     service: "s",
                     tried: &[],
                     left_ms,
+                    zone: None,
                 },
             )
         };
@@ -681,6 +781,7 @@
                 service: "s",
                 tried: &[],
                 left_ms: 2000,
+                zone: None,
             };
             for _ in 0..2 {
                 // The second of two tries at once is the one that is refused.
--- a/crates/wardrobe/src/lib.rs
+++ b/crates/wardrobe/src/lib.rs
@@ -197,6 +197,7 @@
             let must_leave = h.leaving
                 || worker.draining
                 || stage.evacuated.contains_key(&worker.zone)
+                || stage.benched.contains(&worker.id)
                 || track.failures >= c::GRANT_FAILURES;
             moving |= must_leave;
             if track.busy || now < if must_leave { track.retry_at } else { track.next_at } {
--- a/crates/wardrobe/src/plan.rs
+++ b/crates/wardrobe/src/plan.rs
@@ -40,7 +40,8 @@
             .map(|w| &**w)
             .filter(|w| w.service == service && !w.draining && !self.stage.evacuated.contains_key(&w.zone))
             .collect();
-        let warm: Vec<&Worker> = able.iter().copied().filter(|w| !(self.cold)(&w.id)).collect();
+        let fit = |w: &&Worker| !(self.cold)(&w.id) && !self.stage.benched.contains(&w.id);
+        let warm: Vec<&Worker> = able.iter().copied().filter(fit).collect();
         if warm.is_empty() {
             able
         } else {
