--- a/crates/playhouse/src/cli/check.rs
+++ b/crates/playhouse/src/cli/check.rs
@@ -1,10 +1,11 @@
 //! Checking files without talking to anybody.
 
 use super::{exit, Done, Failure};
+use playbill::amend::amend;
 use playbill::{Configuration, Settings};
 use std::path::Path;
 
-pub fn check(settings: Option<&Path>, config: Option<&Path>) -> Done {
+pub fn check(settings: Option<&Path>, config: Option<&Path>, modify: Option<&Path>) -> Done {
     let mut faults = Vec::new();
     if let Some(path) = settings {
         match read(path).and_then(|bytes| String::from_utf8(bytes).map_err(|e| e.to_string())) {
@@ -18,6 +19,16 @@
             Err(e) => faults.push(at(path, &e)),
         }
     }
+    if let (Some(config), Some(path)) = (config, modify) {
+        let whole = read(config).and_then(|current| {
+            let order = read(path)?;
+            amend(&current, &order).map_err(|f| f.0)
+        });
+        match whole {
+            Ok(whole) => faults.extend(Configuration::faults(&whole).iter().map(|f| at(path, &f.0))),
+            Err(e) => faults.push(at(path, &e)),
+        }
+    }
     if faults.is_empty() {
         return Ok(());
     }
@@ -43,6 +54,21 @@
     std::fs::read(path).map_err(|e| e.to_string())
 }
 
+/// Reads a file of changes, whose result on top of a configuration must be valid.
+pub fn valid_modify(path: &Path, current: &[u8]) -> Result<(Vec<u8>, Configuration), Failure> {
+    let invalid = |what: String| Failure(exit::INVALID, at(path, &what));
+    let order = read(path).map_err(invalid)?;
+    let whole = amend(current, &order).map_err(|f| invalid(f.0))?;
+    let config = Configuration::parse(&whole).map_err(|f| invalid(f.0))?;
+    Ok((order, config))
+}
+
+/// Whether a file holds changes to named items rather than a configuration.
+pub fn is_modify(path: &Path) -> bool {
+    let value: Option<serde_json::Value> = read(path).ok().and_then(|b| serde_json::from_slice(&b).ok());
+    value.is_some_and(|v| v.get("Upsert").is_some() || v.get("Remove").is_some())
+}
+
 /// Reads a configuration file that must be valid.
 pub fn valid_config(path: &Path) -> Result<(Vec<u8>, Configuration), Failure> {
     let invalid = |what: String| Failure(exit::INVALID, at(path, &what));
--- a/crates/playhouse/src/cli/config.rs
+++ b/crates/playhouse/src/cli/config.rs
@@ -1,7 +1,7 @@
 //! Reading, sending and comparing the configuration, and evacuations.
 
 use super::call::{call, Answered};
-use super::check::valid_config;
+use super::check::{is_modify, valid_config, valid_modify};
 use super::{exit, ControlArgs, Done, Failure};
 use playbill::{Configuration, Route, Service};
 use std::collections::BTreeMap;
@@ -17,16 +17,16 @@
 }
 
 fn read_current(control: &ControlArgs) -> Result<Option<Configuration>, Failure> {
-    let Some(body) = current(control)? else {
-        return Ok(None);
-    };
-    let config = Configuration::parse(&body).map_err(|f| {
+    current(control)?.map(|body| parsed(&body)).transpose()
+}
+
+fn parsed(body: &[u8]) -> Result<Configuration, Failure> {
+    Configuration::parse(body).map_err(|f| {
         Failure(
             exit::REFUSED,
             format!("the configuration in force cannot be read: {f}"),
         )
-    })?;
-    Ok(Some(config))
+    })
 }
 
 pub fn get(control: &ControlArgs) -> Done {
@@ -47,10 +47,30 @@
         Some(base) => base,
         None => read_current(control)?.map_or(0, |c| c.version),
     };
-    let answered = call(control, "POST", "/configuration/replace", Some(base), body)?;
+    send(control, "/configuration/replace", base, body, config.version)
+}
+
+pub fn modify(file: &Path, base: Option<u64>, control: &ControlArgs) -> Done {
+    let Some(current) = current(control)? else {
+        return Err(Failure(
+            exit::REFUSED,
+            "there is no configuration yet to modify".into(),
+        ));
+    };
+    let (order, config) = valid_modify(file, &current)?;
+    let base = match base {
+        Some(base) => base,
+        None => parsed(&current)?.version,
+    };
+    send(control, "/configuration/modify", base, order, config.version)
+}
+
+/// Sends a change of the configuration and says how it went.
+fn send(control: &ControlArgs, path: &str, base: u64, body: Vec<u8>, version: u64) -> Done {
+    let answered = call(control, "POST", path, Some(base), body)?;
     match answered.status {
         200 => {
-            report(control, &format!("version {} is in force", config.version), "version", config.version);
+            report(control, &format!("version {version} is in force"), "version", version);
             Ok(())
         }
         412 => Err(Failure(
@@ -91,9 +111,13 @@
 }
 
 pub fn diff(file: &Path, control: &ControlArgs) -> Done {
-    let (_, new) = valid_config(file)?;
-    let lines = match read_current(control)? {
-        Some(old) => differences(&old, &new),
+    let current = current(control)?;
+    let new = match &current {
+        Some(current) if is_modify(file) => valid_modify(file, current)?.1,
+        _ => valid_config(file)?.1,
+    };
+    let lines = match &current {
+        Some(old) => differences(&parsed(old)?, &new),
         None => vec![format!("+ version {}, the first", new.version)],
     };
     if control.json {
--- a/crates/playhouse/src/cli/mod.rs
+++ b/crates/playhouse/src/cli/mod.rs
@@ -77,6 +77,9 @@
     /// A configuration file (JSON).
     #[arg(long, value_name = "FILE")]
     config: Option<PathBuf>,
+    /// A file of changes to named items (JSON), checked on top of --config.
+    #[arg(long, value_name = "FILE", requires = "config")]
+    modify: Option<PathBuf>,
 }
 
 #[derive(Args)]
@@ -103,9 +106,19 @@
         #[command(flatten)]
         control: ControlArgs,
     },
-    /// Show what a configuration file would change.
+    /// Change named items; the result is checked first and never sent invalid.
+    Modify {
+        /// The file of changes (JSON): `Version`, `Upsert`, `Remove`.
+        file: PathBuf,
+        /// The version it rests on; the current one if left out.
+        #[arg(long)]
+        base: Option<u64>,
+        #[command(flatten)]
+        control: ControlArgs,
+    },
+    /// Show what a configuration file, or a file of changes, would change.
     Diff {
-        /// The configuration file (JSON).
+        /// The configuration file, or the file of changes (JSON).
         file: PathBuf,
         #[command(flatten)]
         control: ControlArgs,
@@ -141,9 +154,16 @@
     };
     let done = match cli.command {
         Command::Serve(args) => serve(&args).map_err(|text| Failure(exit::INVALID, text)),
-        Command::Check(args) => check::check(args.settings.as_deref(), args.config.as_deref()),
+        Command::Check(args) => check::check(
+            args.settings.as_deref(),
+            args.config.as_deref(),
+            args.modify.as_deref(),
+        ),
         Command::Config(ConfigCommand::Get(c)) => config::get(&c),
         Command::Config(ConfigCommand::Put { file, base, control }) => config::put(&file, base, &control),
+        Command::Config(ConfigCommand::Modify { file, base, control }) => {
+            config::modify(&file, base, &control)
+        }
         Command::Config(ConfigCommand::Diff { file, control }) => config::diff(&file, &control),
         Command::Evacuate(EvacuateCommand::Begin { zone, control }) => {
             config::evacuate(&zone, "begin", &control)
