--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -253,6 +253,9 @@
 pub const IDLE_REUSE_MS: u64 = 4000;
 /// The same for requests that must not run twice, ms.
 pub const IDLE_REUSE_ONCE_MS: u64 = 2000;
+/// How long a node is wary of rested connections once a peer has forgotten
+/// one, ms: such spells last some seconds.
+pub const WARY_MS: u64 = 10_000;
 /// Part of the ratio of the retry budget that is used: the rest covers windows
 /// that nodes see at different moments.
 pub const BUDGET_PART: f64 = 0.8;
--- a/crates/playhouse/src/upstream.rs
+++ b/crates/playhouse/src/upstream.rs
@@ -11,7 +11,7 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::{Stream, StreamExt};
 use playbill::constants as c;
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::pin::Pin;
 use std::rc::Rc;
@@ -74,6 +74,9 @@
 pub struct Upstream {
     config: ServiceConfig,
     idle: RefCell<HashMap<String, Vec<Idle>>>,
+    /// Peers have lately forgotten connections that rested: how long one may
+    /// rest for now, in ms, and until when that holds.
+    wary: Cell<Option<(u64, Instant)>>,
 }
 
 impl Upstream {
@@ -81,6 +84,7 @@
         Rc::new(Upstream {
             config: ServiceConfig::default(),
             idle: RefCell::default(),
+            wary: Cell::new(None),
         })
     }
 
@@ -98,8 +102,26 @@
         self.idle.borrow_mut().remove(address);
     }
 
-    fn take_idle(&self, address: &str, reuse_ms: u64) -> Option<Line> {
+    /// A connection that had rested for this long ended under a call: for a
+    /// while none is used again that has rested half as long.
+    fn forgotten(&self, rested: Duration) {
         let now = Instant::now();
+        let half = rested.as_millis() as u64 / 2;
+        let least = match self.wary.get() {
+            Some((least, until)) if now < until => half.min(least),
+            _ => half,
+        };
+        self.wary
+            .set(Some((least, now + Duration::from_millis(c::WARY_MS))));
+    }
+
+    /// An idle connection, and how long it has rested.
+    fn take_idle(&self, address: &str, reuse_ms: u64) -> Option<(Line, Duration)> {
+        let now = Instant::now();
+        let reuse_ms = match self.wary.get() {
+            Some((least, until)) if now < until => reuse_ms.min(least),
+            _ => reuse_ms,
+        };
         let mut idle = self.idle.borrow_mut();
         let lines = idle.get_mut(address)?;
         while let Some(i) = lines.pop() {
@@ -108,7 +130,7 @@
             let mut probe = [0u8; 1];
             let quiet = matches!(i.line.io.try_read(&mut probe), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
             if young && now < i.until && quiet && i.line.buf.is_empty() {
-                return Some(i.line);
+                return Some((i.line, now.duration_since(i.since)));
             }
         }
         None
@@ -140,21 +162,37 @@
         } else {
             None
         };
-        let mut line = match reused {
-            Some(line) => line,
-            None => Line {
-                io: sockets::connect_for(address, terms.connect_ms, terms.silence_ms)
-                    .await
-                    .map_err(|_| Fault::NotSent)?,
-                buf: BytesMut::new(),
-                codec: ClientCodec::new(self.config.clone()),
-            },
+        let (mut line, rested) = match reused {
+            Some((line, rested)) => (line, Some(rested)),
+            None => (
+                Line {
+                    io: sockets::connect_for(address, terms.connect_ms, terms.silence_ms)
+                        .await
+                        .map_err(|_| Fault::NotSent)?,
+                    buf: BytesMut::new(),
+                    codec: ClientCodec::new(self.config.clone()),
+                },
+                None,
+            ),
         };
         let attempt = head.headers.get(ATTEMPT).cloned();
-        send(&mut line, head, body).await?;
+        let ended = |fault| {
+            if let Some(rested) = rested {
+                self.forgotten(rested);
+            }
+            fault
+        };
+        send(&mut line, head, body).await.map_err(ended)?;
         let mut strangers = 0;
         let head = loop {
-            let head = read_head(&mut line).await.map_err(|()| Fault::Unclear)?;
+            let read = read_head(&mut line).await;
+            let head = read.map_err(|()| {
+                if line.buf.is_empty() {
+                    ended(Fault::Unclear)
+                } else {
+                    Fault::Unclear
+                }
+            })?;
             if answers(&head, attempt.as_ref()) {
                 break head;
             }
@@ -445,3 +483,43 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[actix_rt::test]
+    async fn once_a_peer_forgot_a_rested_connection_none_that_rested_half_as_long_is_used() {
+        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port");
+        let address = listener.local_addr().expect("an address").to_string();
+        let upstream = Upstream::new();
+        let rest = |upstream: &Upstream, io, s: u64| {
+            let line = Line {
+                io,
+                buf: BytesMut::new(),
+                codec: ClientCodec::new(ServiceConfig::default()),
+            };
+            upstream.keep(&address, line, 100_000);
+            if let Some(idle) = upstream
+                .idle
+                .borrow_mut()
+                .get_mut(&address)
+                .and_then(|l| l.last_mut())
+            {
+                idle.since = Instant::now() - Duration::from_secs(s);
+            }
+        };
+        let mut used = Vec::new();
+        for (rested, forgot) in [(30, false), (30, true), (5, true)] {
+            let io = TcpStream::connect(&address).await.expect("connects");
+            rest(&upstream, io, rested);
+            if forgot {
+                upstream.forgotten(Duration::from_secs(40));
+            }
+            used.push(upstream.take_idle(&address, 60_000).is_some());
+        }
+        assert_eq!(used, [true, false, true]);
+    }
+}
