--- a/crates/playhouse/src/conductor/mod.rs
+++ b/crates/playhouse/src/conductor/mod.rs
@@ -202,6 +202,9 @@
         ctx.run_later(Duration::from_millis(wait), |me, ctx| {
             let now = me.house.now();
             me.watch_disk(now);
+            if !me.house.standing.get().current {
+                me.choose_source(now);
+            }
             me.prompter.tick(now);
             me.flush();
             me.schedule(ctx);
--- a/crates/playhouse/src/conductor/tending.rs
+++ b/crates/playhouse/src/conductor/tending.rs
@@ -64,7 +64,7 @@
 
     /// A node without a disk follows a voter near it; the leader feeds the
     /// voters only.
-    fn choose_source(&mut self, now: u64) {
+    pub(super) fn choose_source(&mut self, now: u64) {
         if self.vault.is_some() {
             return;
         }
@@ -99,7 +99,12 @@
         if let Some(source) = self.following.next(now, me, feed, &sources, timing) {
             self.house.counters.add("sources_chosen");
             self.prompter.follow(now, source);
-            let address = members.iter().find(|m| m.id == source).map(|m| m.address.clone());
+        } else {
+            self.prompter.ask_feed();
+        }
+        let (from, _) = self.prompter.feed();
+        let address = members.iter().find(|m| m.id == from).map(|m| m.address.clone());
+        if *self.house.source.get() != address {
             self.house.source.set(address);
         }
     }
--- a/crates/prompter/src/machine/relay.rs
+++ b/crates/prompter/src/machine/relay.rs
@@ -12,13 +12,27 @@
     /// The node followed; 0 for the leader itself.
     from: u64,
     heard_at: u64,
+    /// It has sent something since it was asked.
+    answered: bool,
 }
 
 impl Prompter {
     /// Follows a voter from now on, and asks it to begin.
     pub fn follow(&mut self, now: u64, from: u64) {
         self.now = now;
-        self.feed = Feed { from, heard_at: now };
+        self.feed = Feed {
+            from,
+            heard_at: now,
+            answered: false,
+        };
+        self.ask_feed();
+    }
+
+    /// Asks again whoever has not answered yet: it may only just have started.
+    pub fn ask_feed(&mut self) {
+        if self.feed.from == 0 || self.feed.answered {
+            return;
+        }
         let index = self.commit;
         let cue = Cue {
             kind: CueKind::Follow as i32,
@@ -27,7 +41,7 @@
             applied: self.applied,
             ..Default::default()
         };
-        self.out.now.push((from, cue));
+        self.out.now.push((self.feed.from, cue));
     }
 
     /// The node followed, and when it was last heard, or first asked.
@@ -38,9 +52,14 @@
     /// Whether a cue that was passed on comes from the node followed. Voters
     /// hear the leader alone.
     pub(super) fn takes_feed(&mut self, from: u64) -> bool {
-        let good = self.feed.from == from && !self.roll.has(self.id);
+        // Until one answers, any that was asked will do.
+        let good = (self.feed.from == from || !self.feed.answered) && !self.roll.has(self.id);
         if good {
-            self.feed.heard_at = self.now;
+            self.feed = Feed {
+                from,
+                heard_at: self.now,
+                answered: true,
+            };
         }
         good
     }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -344,6 +344,8 @@
             let (me, feed) = (life.prompter.id(), life.prompter.feed());
             if let Some(source) = life.following.next(now, me, feed, &sources, timing) {
                 life.prompter.follow(now, source);
+            } else if now % 200 == 1 {
+                life.prompter.ask_feed();
             }
         }
     }
