--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -33,6 +33,9 @@
 /// Entries kept in the log before it is folded into a snapshot, entries: some
 /// hundred kilobytes at the most, well inside the smallest disk.
 pub const LOG_KEEP: usize = 256;
+/// Bytes kept in the log before it is folded, bytes: about the size of the
+/// state, since whoever comes back empty is sent both over a narrow link.
+pub const LOG_KEEP_BYTES: usize = 24 * 1024;
 /// Bytes of entries in one append, bytes: one slow link is not held for long.
 pub const APPEND_BYTES: usize = 256 * 1024;
 /// A leader whose own write has not reached the disk for this long steps down,
--- a/crates/playhouse/src/conductor/mod.rs
+++ b/crates/playhouse/src/conductor/mod.rs
@@ -101,6 +101,7 @@
         in_trouble: false,
         role: Role::Follower,
         following: Following::default(),
+        introduced: HashMap::new(),
     }
     .start();
     house.put(conductor.clone());
@@ -143,6 +144,8 @@
 
 /// What waits for a write: its number, messages, and the last entry and its term.
 type Held = (u64, Vec<(u64, Cue)>, (u64, u64));
+/// Nodes kept that have introduced themselves, nodes.
+const INTRODUCED_KEPT: usize = 256;
 type Waiter = oneshot::Sender<Option<Outcome>>;
 
 pub struct Conductor {
@@ -174,6 +177,8 @@
     role: Role,
     /// Which voter this node follows, if it has no disk.
     following: Following,
+    /// Where nodes can be answered that the membership may not show yet.
+    introduced: HashMap<u64, String>,
 }
 
 impl Actor for Conductor {
@@ -235,6 +240,7 @@
             .iter()
             .find(|v| v.id == id)
             .map(|v| v.address.clone())
+            .or_else(|| self.introduced.get(&id).cloned())
     }
 
     fn send_cues(&self, cues: Vec<(u64, Cue)>) {
@@ -276,7 +282,8 @@
                 break;
             }
         }
-        if self.prompter.log_len() > c::LOG_KEEP {
+        let long = self.prompter.log_len() > c::LOG_KEEP || self.prompter.log_bytes() > c::LOG_KEEP_BYTES;
+        if long {
             self.prompter.compact(self.stage.image().encode_to_vec());
         }
         self.publish();
@@ -477,6 +484,12 @@
                     return;
                 };
                 self.join_cluster(letter.cluster);
+                if !letter.reply_to.is_empty() {
+                    if self.introduced.len() >= INTRODUCED_KEPT {
+                        self.introduced.clear();
+                    }
+                    self.introduced.insert(letter.from, letter.reply_to);
+                }
                 self.prompter.receive(now, letter.from, cue);
                 self.flush();
             }
--- a/crates/playhouse/src/conductor/tending.rs
+++ b/crates/playhouse/src/conductor/tending.rs
@@ -77,13 +77,12 @@
             .filter(|m| m.disk && m.id != 0 && m.is_alive())
             .filter(ours)
             .collect();
-        let any_ready = able.iter().any(|m| m.ready);
         // The roll of a node that was cut off for long may be out of date.
         let roll = self.prompter.roll();
         let any_votes = able.iter().any(|m| roll.has(m.id));
         let sources: Vec<Source> = able
             .into_iter()
-            .filter(|m| (m.ready || !any_ready) && (roll.has(m.id) || !any_votes))
+            .filter(|m| roll.has(m.id) || !any_votes)
             .map(|m| Source {
                 id: m.id,
                 same_zone: m.zone == settings.own_entity.zone,
@@ -98,6 +97,7 @@
         let me = self.prompter.id();
         if let Some(source) = self.following.next(now, me, feed, &sources, timing) {
             self.house.counters.add("sources_chosen");
+            log::debug!("event=follows source={source:x} of={}", sources.len());
             self.prompter.follow(now, source);
         } else {
             self.prompter.ask_feed();
--- a/crates/playhouse/src/post.rs
+++ b/crates/playhouse/src/post.rs
@@ -74,7 +74,8 @@
     type Result = ();
     fn handle(&mut self, msg: Send, _: &mut Self::Context) {
         let standing = self.house.standing.get();
-        let answered = matches!(msg.matter, Matter::Call(_) | Matter::Digests(_));
+        // Others may not know a node yet that is not current.
+        let answered = matches!(msg.matter, Matter::Call(_) | Matter::Digests(_)) || !standing.current;
         let own = answered.then(|| self.house.settings.get().internal_address().to_string());
         let letter = Letter {
             from: standing.id,
--- a/crates/prompter/src/machine.rs
+++ b/crates/prompter/src/machine.rs
@@ -214,6 +214,10 @@
     pub fn log_len(&self) -> usize {
         self.log.len()
     }
+    /// The size of the log since the snapshot, in bytes.
+    pub fn log_bytes(&self) -> usize {
+        self.log.iter().map(|e| e.data.len()).sum()
+    }
     pub fn is_leader(&self) -> bool {
         self.role == Role::Leader
     }
