--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -205,7 +205,10 @@
 pub const FULL: f64 = 1.25;
 /// Pause after a move of keys before the next for balance, ms: loads must show.
 pub const MOVE_PAUSE_MS: u64 = 500;
-/// Moves for balance begun together, moves.
+/// Of how many workers of a service one may give a piece away at the same time
+/// for balance, workers: with many, busy keys must find more room at once.
+pub const MOVES_PART: usize = 6;
+/// Moves for balance begun together at least, moves.
 pub const MOVES: usize = 6;
 /// Connections to each worker that this node should be able to have if it is
 /// to use all of them, connections: with fewer it uses a part of the workers.
