--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -12,7 +12,7 @@
 //! slow a 500 | stuck a | well a                            disks
 //! drain w1 | gone w1 | dark w1 | mute w1 | worker w9
 //! expect leader | no-leader | answer NAME OUTCOME | version N [NODE...] | current NODE...
-//! expect voters N | not-voter ADDRESS | holds w1 yes|no | another-leader
+//! expect voters N | not-voter ADDRESS | holds w1 yes|no | another-leader | leaving w1
 //! ```
 
 use crate::workers::StandIn;
@@ -204,6 +204,14 @@
                     .filter_map(|n| n.life.as_ref())
                     .all(|l| l.stage.version() == wanted)
             }
+            // All running nodes know that a worker leaves.
+            "leaving" => {
+                let knows = |l: &crate::node::Life| {
+                    let w = l.stage.workers.get(words[1]);
+                    w.is_some_and(|w| w.draining)
+                };
+                world.nodes.values().filter_map(|n| n.life.as_ref()).all(knows)
+            }
             "acked-stands" => {
                 let leader = world
                     .leader()
