--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -250,6 +250,9 @@
 pub const EJECT_MS: u64 = 500;
 /// Longest time a worker is left alone, ms.
 pub const EJECT_MAX_MS: u64 = 4000;
+/// A worker whose address another one has is left alone for this long, ms: the
+/// list drops it within some seconds.
+pub const GONE_MS: u64 = 6000;
 /// A worker that turned a request away is left alone for this long, ms.
 pub const FULL_MS: u64 = 40;
 /// Connecting to a worker is given up after this time plus two round trips, ms.
--- a/crates/usher/src/seats.rs
+++ b/crates/usher/src/seats.rs
@@ -62,8 +62,11 @@
     Erred(f64),
     /// Turned away without being run.
     TurnedAway,
-    /// It is another worker, or does not hold the key.
+    /// It does not hold the key, or does not say why it is not the one.
     Elsewhere,
+    /// Another worker has its address: this one has ended, whatever the list
+    /// still shows.
+    Gone,
     /// No connection, or none that answered.
     Failed,
     /// It had not answered when the time was up.
@@ -526,6 +529,10 @@
                 }
             }
             Observed::Late => seat.failed += 1,
+            Observed::Gone => {
+                seat.failed += 1;
+                seat.left_alone_until = seat.left_alone_until.max(now + c::GONE_MS);
+            }
             Observed::TurnedAway => {
                 seat.failed += 1;
                 seat.left_alone_until = seat.left_alone_until.max(now + c::FULL_MS);
@@ -797,6 +804,22 @@
         assert_eq!(after(false, true), Found::Nobody(c::HOLDER_GONE_AFTER_MS));
     }
 
+    #[test]
+    fn a_worker_whose_address_went_to_another_draws_nothing_more() {
+        let stage = stage(&[("own", "z1", 0), ("next", "z1", 0)]);
+        let mut u = usher(&stage);
+        for t in 0..100 {
+            // It answers at once that it is not the one: never the quickest.
+            let found = pick(&mut u, &stage, "/a/", t, &[]);
+            if id(&found) == "own" {
+                assert!(t < 20, "still drawn at {t}");
+                u.observe(t, "own", Observed::Gone);
+            } else {
+                u.observe(t, "next", Observed::Answered(100.0));
+            }
+        }
+    }
+
     #[test]
     fn a_returned_zone_is_taken_for_cold() {
         let mut stage = stage(&[("own", "z1", 0), ("next", "z2", 0)]);
