--- a/crates/playhouse/src/forwarding_tests.rs
+++ b/crates/playhouse/src/forwarding_tests.rs
@@ -332,6 +332,18 @@
     }
 }
 
+#[actix_rt::test]
+async fn an_address_that_another_worker_has_is_tried_once() {
+    let other = "HTTP/1.1 421 No\r\nNot-Executed: 1\r\nInstance-Id: x\r\nContent-Length: 0\r\n\r\n";
+    let (gone, a) = worker(vec![Act::Say(other.into())]).await;
+    let (_, b) = worker(vec![ok("b")]).await;
+    let front_address = front(&[a, b]).await;
+    for _ in 0..10 {
+        assert_eq!(status(&raw(front_address, &post("/once/a", "x")).await), "200");
+    }
+    assert!(gone.seen.borrow().len() <= 1, "it answers at once, and is no use");
+}
+
 #[actix_rt::test]
 async fn a_closing_worker_is_not_called_on_the_same_connection() {
     let closing = "HTTP/1.1 200 OK\r\nAttempt-Id: 7\r\nServer-Seal: s\r\nConnection: close\r\nContent-Length: 1\r\n\r\n1";
--- a/crates/playhouse/src/front.rs
+++ b/crates/playhouse/src/front.rs
@@ -332,7 +332,7 @@
         let not_run = answer.headers.contains_key("Not-Executed");
         if answer.status == StatusCode::MISDIRECTED_REQUEST {
             let other = answer.headers.get("Instance-Id").and_then(|v| v.to_str().ok());
-            let gone = other.is_some_and(|id| id != choice.id) && !not_run;
+            let gone = other.is_some_and(|id| id != choice.id);
             seat.end(if gone { Observed::Gone } else { Observed::Elsewhere });
             self.house.counters.add("elsewhere");
             return Try::NotRun;
