--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -297,12 +297,6 @@
 /// Bodies up to this size are read whole before they are passed on, bytes:
 /// such requests can be sent again, such answers are whole or not at all.
 pub const WHOLE_BODY_BYTES: usize = 64 * 1024;
-/// A request that may repeat goes to a second worker as well once the first has
-/// taken this many times its mean time: rare while all is well, and soon enough
-/// to be in time.
-pub const SECOND_CHANCE: f64 = 3.0;
-/// Least wait before that, ms.
-pub const SECOND_CHANCE_MS: f64 = 150.0;
 /// Answers to somebody else that are passed over before a connection is given
 /// up, answers.
 pub const STRANGE_ANSWERS: u32 = 4;
--- a/crates/playhouse/src/forwarding_tests.rs
+++ b/crates/playhouse/src/forwarding_tests.rs
@@ -344,21 +344,6 @@
     assert!(gone.seen.borrow().len() <= 1, "it answers at once, and is no use");
 }
 
-#[actix_rt::test]
-async fn a_lost_answer_gets_a_second_chance_where_the_request_may_repeat() {
-    let (lost, a) = worker(vec![Act::Hang]).await;
-    let (_, b) = worker(vec![ok("b")]).await;
-    let front_address = front(&[a, b]).await;
-    while lost.seen.borrow().is_empty() {
-        assert!(raw(front_address, &get("/again/a")).await.ends_with("b"));
-    }
-    // What must not repeat waits for the one worker that has it.
-    let (lost, a) = worker(vec![Act::SayAndClose(String::new())]).await;
-    let front_address = front(&[a]).await;
-    assert_eq!(status(&raw(front_address, &post("/once/a", "x")).await), "502");
-    assert_eq!(lost.seen.borrow().len(), 1);
-}
-
 #[actix_rt::test]
 async fn a_closing_worker_is_not_called_on_the_same_connection() {
     let closing = "HTTP/1.1 200 OK\r\nAttempt-Id: 7\r\nServer-Seal: s\r\nConnection: close\r\nContent-Length: 1\r\n\r\n1";
--- a/crates/playhouse/src/front.rs
+++ b/crates/playhouse/src/front.rs
@@ -15,7 +15,6 @@
 };
 use actix_service::{boxed, fn_service, Service, ServiceFactory};
 use bytes::{Bytes, BytesMut};
-use futures_util::future::{select, Either};
 use futures_util::StreamExt;
 use playbill::config::{ClientLimits, Configuration, RouteKind};
 use playbill::constants as c;
@@ -224,13 +223,25 @@
             if left.is_zero() {
                 return Err(self.too_late(sent));
             }
-            let choice = match self.choose(&task, &tried, left).await {
-                Found::Worker(choice) => choice,
-                Found::Nobody(wait) if !sent => return Err(self.give_up("refused_nobody", wait)),
-                Found::Spent if !sent => return Err(self.give_up("refused_budget", c::RETRY_AFTER_MS)),
+            let choose = Choose {
+                route: task.route.clone(),
+                service: task.service.clone(),
+                key: task.key,
+                tried: tried.clone(),
+                left_ms: left.as_millis() as u64,
+                client: task.client,
+            };
+            let choice = match self.desk.send(choose).await {
+                Ok(Found::Worker(choice)) => choice,
+                Ok(Found::Nobody(wait)) if !sent => return Err(self.give_up("refused_nobody", wait)),
+                Ok(Found::Spent) if !sent => return Err(self.give_up("refused_budget", c::RETRY_AFTER_MS)),
                 _ => return erred.ok_or_else(|| plain(StatusCode::BAD_GATEWAY, "the worker failed")),
             };
-            let seat = self.seat(&choice);
+            let seat = Seat {
+                desk: self.desk.clone(),
+                id: choice.id.clone(),
+                open: Cell::new(true),
+            };
             let sending = match &mut body {
                 Some(Body::Whole(bytes)) => Sending::Whole(bytes.clone()),
                 other => match other.take() {
@@ -240,17 +251,7 @@
             };
             let again = matches!(body, Some(Body::Whole(_)));
             let tries = tried.len() as u32 + 1;
-            let may_repeat = Usher::may_repeat(task.route.kind, true);
-            let outcome = match &body {
-                Some(Body::Whole(bytes))
-                    if may_repeat && task.key.is_none() && tries < task.route.attempts =>
-                {
-                    self.two_tries(request, &task, &choice, bytes, left, seat, &mut tried)
-                        .await
-                }
-                _ => self.one_try(request, &task, &choice, sending, left, seat).await,
-            };
-            match outcome {
+            match self.one_try(request, &task, &choice, sending, left, seat).await {
                 Try::Answered(response) => return Ok(response),
                 Try::Late => return Err(self.too_late(true)),
                 Try::Erred(response) => {
@@ -271,7 +272,8 @@
                 }
                 Try::MayHaveRun => {
                     sent = true;
-                    if !may_repeat || tries >= task.route.attempts || !again {
+                    let repeat = Usher::may_repeat(task.route.kind, true);
+                    if !repeat || tries >= task.route.attempts || !again {
                         self.house.counters.add("worker_failed");
                         return Err(plain(StatusCode::BAD_GATEWAY, "the worker failed"));
                     }
@@ -281,69 +283,6 @@
         }
     }
 
-    async fn choose(&self, task: &Task, tried: &[String], left: Duration) -> Found {
-        let choose = Choose {
-            route: task.route.clone(),
-            service: task.service.clone(),
-            key: task.key,
-            tried: tried.to_vec(),
-            left_ms: left.as_millis() as u64,
-            client: task.client,
-        };
-        let found = self.desk.send(choose).await;
-        found.unwrap_or(Found::Nobody(c::RETRY_AFTER_MS))
-    }
-
-    fn seat(&self, choice: &Choice) -> Rc<Seat> {
-        Rc::new(Seat {
-            desk: self.desk.clone(),
-            id: choice.id.clone(),
-            open: Cell::new(true),
-        })
-    }
-
-    /// A try of a request that may repeat. If the worker takes far longer than
-    /// it usually does, its answer may be lost: another gets the request as
-    /// well, and the first good answer counts.
-    #[allow(clippy::too_many_arguments)]
-    async fn two_tries(
-        &self,
-        request: &Request,
-        task: &Task,
-        choice: &Choice,
-        body: &Bytes,
-        left: Duration,
-        seat: Rc<Seat>,
-        tried: &mut Vec<String>,
-    ) -> Try {
-        let whole = || Sending::Whole(body.clone());
-        let first = self.one_try(request, task, choice, whole(), left, seat.clone());
-        let mut first = std::pin::pin!(first);
-        let patience = (choice.answer_ms * c::SECOND_CHANCE).max(c::SECOND_CHANCE_MS) + choice.rtt_ms;
-        let patience = Duration::from_millis(patience as u64);
-        if let Ok(done) = tokio::time::timeout(patience, first.as_mut()).await {
-            return done;
-        }
-        let left = task.ends.saturating_duration_since(Instant::now());
-        tried.push(choice.id.clone());
-        let Found::Worker(other) = self.choose(task, tried, left).await else {
-            return first.await;
-        };
-        tried.push(other.id.clone());
-        self.house.counters.add("second_chances");
-        let second = self.one_try(request, task, &other, whole(), left, self.seat(&other));
-        let second = std::pin::pin!(second);
-        match select(first, second).await {
-            Either::Left((done @ Try::Answered(_), _)) => done,
-            Either::Left((_, second)) => second.await,
-            Either::Right((done @ Try::Answered(_), _)) => {
-                seat.end(Observed::Late);
-                done
-            }
-            Either::Right((_, first)) => first.await,
-        }
-    }
-
     fn too_late(&self, sent: bool) -> Response<BoxBody> {
         if sent {
             self.house.counters.add("too_late");
@@ -360,7 +299,7 @@
         choice: &Choice,
         sending: Sending,
         left: Duration,
-        seat: Rc<Seat>,
+        seat: Seat,
     ) -> Try {
         let head = worker_head(request, choice, left);
         let once = task.route.kind == RouteKind::NonIdempotent;
@@ -565,13 +504,7 @@
 
 /// The worker's answer, as the client gets it. A body that comes in parts
 /// breaks off visibly if the worker does, or when time is up.
-fn client_answer(
-    answer: Answer,
-    is_head: bool,
-    seat: Rc<Seat>,
-    took: f64,
-    ends: Instant,
-) -> Response<BoxBody> {
+fn client_answer(answer: Answer, is_head: bool, seat: Seat, took: f64, ends: Instant) -> Response<BoxBody> {
     let named = named_hops(&answer.headers);
     let mut response = match answer.body {
         AnswerBody::Whole(bytes) => {
--- a/crates/usher/src/seats.rs
+++ b/crates/usher/src/seats.rs
@@ -42,8 +42,6 @@
     pub address: String,
     pub region: String,
     pub rtt_ms: f64,
-    /// How long it takes on average, in ms.
-    pub answer_ms: f64,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -351,7 +349,6 @@
             address: seat.worker.address.clone(),
             region: seat.region.clone(),
             rtt_ms: rtt,
-            answer_ms: seat.answer_ms,
         })
     }
 
