--- a/crates/boxoffice/src/bench.rs
+++ b/crates/boxoffice/src/bench.rs
@@ -38,6 +38,8 @@
 pub struct Bench {
     outcomes: BTreeMap<u32, Outcomes>,
     sentences: BTreeMap<String, Sentence>,
+    /// Who is judged anew from then on.
+    settled_at: u64,
 }
 
 fn median(mut of: Vec<f64>) -> f64 {
@@ -46,6 +48,14 @@
 }
 
 impl Bench {
+    /// Begins the duty: for a while only those on the bench are looked after.
+    pub fn begin(&mut self, now: u64) {
+        *self = Bench {
+            settled_at: now + c::BENCH_SETTLE_MS,
+            ..Default::default()
+        };
+    }
+
     pub fn take(&mut self, capacity: &[Capacity]) {
         for w in capacity {
             let o = self.outcomes.entry(w.worker).or_default();
@@ -122,6 +132,9 @@
             })
             .collect();
         bad.sort_by(|a, b| b.0.total_cmp(&a.0));
+        if now < self.settled_at {
+            bad.clear();
+        }
         let room = (workers.len() as f64 * c::BENCH_CAP) as usize;
         let sitting: Vec<&str> = workers
             .iter()
@@ -204,6 +217,23 @@
         assert!(stage.benched.is_empty());
     }
 
+    #[test]
+    fn a_new_leader_judges_nobody_at_first_but_keeps_who_sits() {
+        let mut stage = stage(20);
+        stage.benched = Arc::new(BTreeSet::from(["w9".to_string()]));
+        let mut bench = Bench::default();
+        bench.begin(0);
+        for t in (500..c::BENCH_SETTLE_MS).step_by(500) {
+            second(&mut bench, 20, &[3], &[]);
+            let on = bench.decide(t, &stage);
+            assert!(!on.contains("w3"), "at {t}");
+            assert_eq!(on.contains("w9"), t < 500 + c::BENCH_MS, "at {t}");
+            stage.benched = Arc::new(on);
+        }
+        second(&mut bench, 20, &[3], &[]);
+        assert!(bench.decide(c::BENCH_SETTLE_MS, &stage).contains("w3"));
+    }
+
     #[test]
     fn what_strikes_all_benches_nobody_and_never_more_than_the_cap() {
         let stage = stage(20);
--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -229,6 +229,9 @@
 /// What is kept of a worker's outcomes from one look to the next: some two
 /// seconds count.
 pub const BENCH_KEEP: f64 = 0.8;
+/// How long a new leader judges nobody, ms: after a loss of many nodes all that
+/// was held up comes at once, and who is full looks ill.
+pub const BENCH_SETTLE_MS: u64 = 6000;
 /// Outcomes before a worker is judged.
 pub const BENCH_OUTCOMES: f64 = 4.0;
 /// Part of failures above what is usual in its service that benches a worker.
--- a/crates/playhouse/src/placement.rs
+++ b/crates/playhouse/src/placement.rs
@@ -24,6 +24,7 @@
         sites: BTreeSet::new(),
         workers: 0,
         busy: false,
+        since: None,
     };
     house.put(treasurer.start());
     Ok(())
@@ -47,6 +48,8 @@
     sites: BTreeSet<String>,
     workers: usize,
     busy: bool,
+    /// Since when this node leads, as far as the judging of workers goes.
+    since: Option<u64>,
 }
 
 impl Actor for Treasurer {
@@ -73,8 +76,10 @@
             return;
         };
         ctx.spawn(conductor.send(Lease).into_actor(self).map(|lease, me, ctx| {
-            if !matches!(lease, Ok(Some(_))) {
-                return;
+            let Ok(Some(since)) = lease else { return };
+            if me.since != Some(since) {
+                me.since = Some(since);
+                me.bench.begin(me.house.now());
             }
             let change = me
                 .judge_workers()
--- a/crates/usher/src/seats.rs
+++ b/crates/usher/src/seats.rs
@@ -534,7 +534,6 @@
                 seat.left_alone_until = seat.left_alone_until.max(now + c::GONE_MS);
             }
             Observed::TurnedAway => {
-                seat.failed += 1;
                 seat.left_alone_until = seat.left_alone_until.max(now + c::FULL_MS);
             }
             Observed::Failed => {
