--- a/crates/playhouse/src/forwarding_tests.rs
+++ b/crates/playhouse/src/forwarding_tests.rs
@@ -124,6 +124,11 @@
 /// A front whose service has these workers; it may send as many further tries
 /// as it likes. The address clients use.
 async fn front(workers: &[String]) -> SocketAddrV4 {
+    house(workers).await.1
+}
+
+/// The same, with the house that it stands in.
+async fn house(workers: &[String]) -> (Rc<House>, SocketAddrV4) {
     let port = free_port();
     let text = format!(
         r#"
@@ -192,7 +197,7 @@
         ],
     )
     .expect("starts");
-    SocketAddrV4::new([127, 0, 0, 1].into(), port)
+    (house, SocketAddrV4::new([127, 0, 0, 1].into(), port))
 }
 
 /// Sends bytes and reads until the front closes.
@@ -344,6 +349,21 @@
     assert!(gone.seen.borrow().len() <= 1, "it answers at once, and is no use");
 }
 
+#[actix_rt::test]
+async fn a_node_about_to_end_refuses_at_once_what_it_could_not_finish() {
+    let (script, address) = worker(vec![ok("fine")]).await;
+    let (house, front_address) = house(&[address]).await;
+    house.leaving.set(true);
+    assert_eq!(status(&raw(front_address, &post("/once/a", "x")).await), "200");
+    house.closing.set(true);
+    let answer = raw(front_address, &post("/once/a", "x")).await;
+    assert!(
+        status(&answer) == "503" && answer.contains("etry-after"),
+        "{answer}"
+    );
+    assert_eq!(script.seen.borrow().len(), 1);
+}
+
 #[actix_rt::test]
 async fn a_closing_worker_is_not_called_on_the_same_connection() {
     let closing = "HTTP/1.1 200 OK\r\nAttempt-Id: 7\r\nServer-Seal: s\r\nConnection: close\r\nContent-Length: 1\r\n\r\n1";
--- a/crates/playhouse/src/front.rs
+++ b/crates/playhouse/src/front.rs
@@ -131,6 +131,9 @@
     async fn handle(&self, mut request: Request) -> Result<Response<BoxBody>, Response<BoxBody>> {
         let arrived = Instant::now();
         self.house.counters.add("requests");
+        if self.house.closing.get() {
+            return Err(closing(self.give_up("refused_leaving", c::RETRY_AFTER_MS)));
+        }
         let stage = self.house.stage.get();
         let config = match &stage.config {
             Some(config) if self.house.can_serve() => config.clone(),
--- a/crates/playhouse/src/kernel.rs
+++ b/crates/playhouse/src/kernel.rs
@@ -50,6 +50,8 @@
     pub source: Published<Option<String>>,
     /// Set once the process has been told to end.
     pub leaving: Cell<bool>,
+    /// Set once a process that ends can take no more requests.
+    pub closing: Cell<bool>,
     pub counters: Counters,
     started: Instant,
     parts: RefCell<HashMap<TypeId, Box<dyn Any>>>,
@@ -67,6 +69,7 @@
             standing: Published::new(Standing::default()),
             source: Published::new(None),
             leaving: Cell::new(false),
+            closing: Cell::new(false),
             counters: Counters::default(),
             started: Instant::now(),
             parts: RefCell::new(HashMap::new()),
--- a/crates/playhouse/src/leaving.rs
+++ b/crates/playhouse/src/leaving.rs
@@ -94,6 +94,9 @@
             quiet_since = now;
         }
         let gone = now - begun;
+        // What still comes would be cut off: it is refused while there is time
+        // to say so, and what runs may end.
+        house.closing.set(gone > grace * 7 / 10);
         // Clients leave within the life of an answer; who still comes after
         // that is served as long as there is time.
         let settled = gone > grace / 2 && now - quiet_since > c::LEAVE_QUIET_MS;
