--- a/crates/playbill/src/stage.rs
+++ b/crates/playbill/src/stage.rs
@@ -258,6 +258,15 @@
         }
     }
 
+    /// The state that a snapshot of the log holds, at the index it stands for;
+    /// an empty one if the data cannot be read.
+    pub fn from_snapshot(index: u64, data: &[u8]) -> Stage {
+        let read = StageImage::decode(data).ok().and_then(Stage::from_image);
+        let mut stage = read.unwrap_or_default();
+        stage.index = stage.index.max(index);
+        stage
+    }
+
     /// The state that an image holds; `None` if its configuration is unreadable.
     pub fn from_image(image: StageImage) -> Option<Stage> {
         let config = if image.version == 0 {
--- a/crates/playhouse/src/conductor/mod.rs
+++ b/crates/playhouse/src/conductor/mod.rs
@@ -67,7 +67,7 @@
         follower_gone: c::FOLLOWER_GONE_MS,
         append_bytes: c::APPEND_BYTES,
     };
-    let stage = stage_of(&saved.snapshot);
+    let stage = Stage::from_snapshot(saved.snapshot.index, &saved.snapshot.data);
     let prompter = Prompter::new(identity.id, saved, timing, house.now(), rand::thread_rng().gen());
     let mut standing = Standing {
         id: identity.id,
@@ -113,15 +113,6 @@
     Ok(())
 }
 
-fn stage_of(snapshot: &Snapshot) -> Stage {
-    let read = StageImage::decode(snapshot.data.as_slice())
-        .ok()
-        .and_then(Stage::from_image);
-    let mut stage = read.unwrap_or_default();
-    stage.index = stage.index.max(snapshot.index);
-    stage
-}
-
 #[derive(Message)]
 #[rtype(result = "()")]
 struct FromVault(Word);
@@ -311,7 +302,7 @@
 
     fn install(&mut self, snapshot: &Snapshot) {
         if snapshot.index > self.stage.index {
-            self.stage = stage_of(snapshot);
+            self.stage = Stage::from_snapshot(snapshot.index, &snapshot.data);
             self.house.stage.set(self.stage.clone());
         }
         self.prompter.applied(self.stage.index.max(snapshot.index));
--- a/crates/rehearsal/src/node.rs
+++ b/crates/rehearsal/src/node.rs
@@ -2,10 +2,10 @@
 
 use crate::disk::Disk;
 use playbill::constants as c;
-use playbill::letters::{ReplaceOrder, StageImage};
+use playbill::letters::ReplaceOrder;
 use playbill::stage::Outcome;
 use playbill::Stage;
-use prompter::{Cue, EntryKind, Following, Prompter, Snapshot, Timing};
+use prompter::{Cue, EntryKind, Following, Prompter, Timing};
 use prost::Message;
 use std::collections::VecDeque;
 use wardrobe::Wardrobe;
@@ -82,7 +82,7 @@
             }
             None => (id, prompter::Saved::default()),
         };
-        let stage = stage_of(&saved.snapshot);
+        let stage = Stage::from_snapshot(saved.snapshot.index, &saved.snapshot.data);
         self.life = Some(Life {
             prompter: Prompter::new(id, saved, TIMING, now, id),
             stage,
@@ -140,7 +140,7 @@
             }
             if let Some(snapshot) = effects.install {
                 if snapshot.index > life.stage.index {
-                    life.stage = stage_of(&snapshot);
+                    life.stage = Stage::from_snapshot(snapshot.index, &snapshot.data);
                 }
                 life.prompter.applied(life.stage.index);
             }
@@ -177,12 +177,3 @@
         did
     }
 }
-
-fn stage_of(snapshot: &Snapshot) -> Stage {
-    let read = StageImage::decode(snapshot.data.as_slice())
-        .ok()
-        .and_then(Stage::from_image);
-    let mut stage = read.unwrap_or_default();
-    stage.index = stage.index.max(snapshot.index);
-    stage
-}
