--- a/crates/callboard/src/board.rs
+++ b/crates/callboard/src/board.rs
@@ -90,21 +90,17 @@
     /// or it dies out before it has reached them all.
     fn tells(&self) -> u32 {
         let nodes = self.others.len() as u32 + 2;
-        self.timing.gossip_times.max(3 * nodes.ilog2())
+        self.timing.gossip_times.max(2 * nodes.ilog2())
+    }
+
+    /// What this node knows of each node, itself included, as numbers.
+    fn marks(&self) -> impl Iterator<Item = u64> + '_ {
+        std::iter::once(&self.me).chain(self.members()).map(Member::mark)
     }
 
     /// A number that two nodes that know the same share.
     fn digest(&self) -> u64 {
-        let mine = std::iter::once(&self.me);
-        mine.chain(self.members())
-            .map(|m| {
-                let mut hash = 0xcbf2_9ce4_8422_2325u64 ^ m.incarnation;
-                for b in m.address.bytes().chain([m.standing as u8]) {
-                    hash = (hash ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
-                }
-                hash
-            })
-            .fold(0, u64::wrapping_add)
+        self.marks().fold(0, u64::wrapping_add)
     }
 
     /// A node that twice in a row met others who knew different things compares
@@ -127,8 +123,7 @@
                 .collect();
             let with = near.choose(&mut self.rng).cloned();
             let with = with.unwrap_or_else(|| from.to_string());
-            self.send(with.clone(), NoticeKind::Join, 0, String::new());
-            self.tell_all(&with);
+            self.send(with, NoticeKind::Join, 0, String::new());
         }
     }
 
@@ -198,6 +193,19 @@
         }
     }
 
+    /// When the next tick is due: in hundreds of nodes each needless waking of
+    /// one is hundreds.
+    pub fn next_tick(&self) -> u64 {
+        let waits = self.probing.as_ref().map_or(u64::MAX, |p| {
+            p.at + if p.asked_others {
+                self.timing.probe_limit
+            } else {
+                self.timing.probe_wait
+            }
+        });
+        self.next_probe.min(self.next_join).min(waits)
+    }
+
     fn join(&mut self, now: u64) {
         let alone = self.alive().next().is_none();
         self.next_join = now
@@ -220,7 +228,9 @@
             )
             .filter(|a| !self.others.get(a).is_some_and(|e| e.member.is_alive()))
             .collect();
-        let to: Vec<String> = if alone {
+        // Without a disk one is enough: there may be hundreds of such nodes, and
+        // all of them start together.
+        let to: Vec<String> = if alone && self.me.disk {
             lost
         } else {
             lost.choose(&mut self.rng).cloned().into_iter().collect()
@@ -335,20 +345,32 @@
                 self.for_others.insert(seq, (from.to_string(), notice.seq, now));
                 self.send(notice.target, NoticeKind::Probe, seq, String::new());
             }
-            NoticeKind::Join => self.tell_all(from),
+            NoticeKind::Join => self.tell_missing(from, &notice.known, true),
+            NoticeKind::Compare => self.tell_missing(from, &notice.known, false),
+            NoticeKind::Meet => self.tell(from, &[self.me.clone()]),
             NoticeKind::News => {}
         }
-        if !self.others.get(from).is_some_and(|e| e.member.is_alive()) && kind != NoticeKind::Join {
+        let asks = matches!(kind, NoticeKind::Join | NoticeKind::Meet);
+        if !self.others.get(from).is_some_and(|e| e.member.is_alive()) && !asks {
             // Somebody knows us whom we do not know, or take for gone: after a
             // restart of the seeds nobody else would introduce it.
-            self.send(from.to_string(), NoticeKind::Join, 0, String::new());
+            self.send(from.to_string(), NoticeKind::Meet, 0, String::new());
         }
     }
 
-    fn tell_all(&mut self, to: &str) {
-        let all: Vec<Member> = std::iter::once(self.me.clone())
-            .chain(self.members().cloned())
-            .collect();
+    /// Tells a node what it does not know; and asks it, if it may know more.
+    fn tell_missing(&mut self, to: &str, known: &[u64], ask: bool) {
+        let known: BTreeSet<u64> = known.iter().copied().collect();
+        let mine: BTreeSet<u64> = self.marks().collect();
+        let all = std::iter::once(&self.me).chain(self.members());
+        let missing: Vec<Member> = all.filter(|m| !known.contains(&m.mark())).cloned().collect();
+        self.tell(to, &missing);
+        if ask && known.difference(&mine).next().is_some() {
+            self.send(to.to_string(), NoticeKind::Compare, 0, String::new());
+        }
+    }
+
+    fn tell(&mut self, to: &str, all: &[Member]) {
         for part in all.chunks(self.timing.gossip_members) {
             let notice = Notice {
                 kind: NoticeKind::News as i32,
@@ -421,6 +443,10 @@
             }
         }
         let digest = if kind == NoticeKind::Ack { self.digest() } else { 0 };
+        let known = match kind {
+            NoticeKind::Join | NoticeKind::Compare => self.marks().collect(),
+            _ => Vec::new(),
+        };
         self.out.push((
             to,
             Notice {
@@ -429,6 +455,7 @@
                 target,
                 members,
                 digest,
+                known,
             },
         ));
     }
--- a/crates/callboard/src/notice.rs
+++ b/crates/callboard/src/notice.rs
@@ -52,6 +52,13 @@
 }
 
 impl Member {
+    /// A number that tells what is known of a node from anything else.
+    pub fn mark(&self) -> u64 {
+        let hash = |hash: u64, b: u8| (hash ^ u64::from(b)).wrapping_mul(0x0000_0100_0000_01b3);
+        let bytes = self.address.bytes().chain([self.standing as u8]);
+        bytes.fold(0xcbf2_9ce4_8422_2325u64 ^ self.incarnation, hash)
+    }
+
     pub fn is_alive(&self) -> bool {
         self.standing() == Standing::Alive
     }
@@ -64,9 +71,13 @@
     Ack = 1,
     /// Probe somebody for me.
     ProbeFor = 2,
-    /// Tell me about everybody.
+    /// Tell me about everybody of whom I know nothing, or something else.
     Join = 3,
     News = 4,
+    /// Who are you?
+    Meet = 5,
+    /// The same as `Join`, from somebody who has answered one.
+    Compare = 6,
 }
 
 /// One datagram.
@@ -85,4 +96,7 @@
     /// Ack: what the sender knows of everybody, as one number.
     #[prost(fixed64, tag = "5")]
     pub digest: u64,
+    /// Join and Compare: what the sender knows of each, as numbers.
+    #[prost(fixed64, repeated, tag = "6")]
+    pub known: Vec<u64>,
 }
--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -33,9 +33,13 @@
 /// Entries kept in the log before it is folded into a snapshot, entries: some
 /// hundred kilobytes at the most, well inside the smallest disk.
 pub const LOG_KEEP: usize = 256;
-/// Bytes kept in the log before it is folded, bytes: about the size of the
-/// state, since whoever comes back empty is sent both over a narrow link.
+/// Bytes kept in the log before it is folded, bytes; more if the state itself is
+/// larger, since whoever comes back empty is sent both over a narrow link and a
+/// fold costs as much as the state is large.
 pub const LOG_KEEP_BYTES: usize = 24 * 1024;
+/// Bytes of folded entries that stay at hand, bytes: who lags by less than that
+/// is sent what it lacks, not the whole state.
+pub const LOG_TAIL_BYTES: usize = 16 * 1024;
 /// Bytes of entries in one append, bytes: one slow link is not held for long.
 pub const APPEND_BYTES: usize = 256 * 1024;
 /// A leader whose own write has not reached the disk for this long steps down,
@@ -124,6 +128,12 @@
 pub const HOLD_MS: u64 = 3500;
 /// Pause between renewals of a grant, ms: a change of leader fits into the rest.
 pub const RENEW_MS: u64 = 800;
+/// Grants a second that the leader makes at the most in the long run: with more
+/// holders than this allows, the pause between renewals grows.
+pub const GRANTS_PER_S: u64 = 300;
+/// Longest pause between renewals, ms: a change of leader fits into what is
+/// left of the hold, and connections that rest as long are used again.
+pub const RENEW_MAX_MS: u64 = 1500;
 /// A worker's clock for its hold may be slow by this factor (protocol).
 pub const HOLD_CLOCK: f64 = 1.02;
 /// Wait for the answer to a grant, ms: far round trips on a loaded machine.
@@ -213,7 +223,11 @@
 /// Connections to each worker that this node should be able to have if it is
 /// to use all of them, connections: with fewer it uses a part of the workers.
 pub const CONNECTIONS_EACH: u32 = 4;
-/// Workers of its own zone that a node uses if it cannot use all, workers:
+/// Workers of a service above which a node uses a part of them, workers: its
+/// requests are few, and each would meet a worker that it has no connection to
+/// and knows nothing of.
+pub const POOL_ALL: usize = 175;
+/// Workers of its own zone that a node uses if it does not use all, workers:
 /// enough to even out, few enough that connections are used again.
 pub const WINDOW: usize = 12;
 /// The same in each other zone, for when its own has no room, workers.
@@ -278,6 +292,9 @@
 /// How long a worker of a returned zone is taken for cold unless the
 /// configuration gives a longer time, ms.
 pub const RETURN_COLD_MS: u64 = 3000;
+/// How long a node remembers the requests it sent to a worker, ms: long enough
+/// that the share of one of hundreds of nodes tells the busy from the others.
+pub const RECENT_MS: f64 = 20_000.0;
 /// A bound added to what the list says of a cold worker, ms: its lag.
 pub const COLD_MARGIN_MS: u64 = 300;
 /// A request is refused at once if a worker is expected to take more than this
--- a/crates/playbill/src/letters.rs
+++ b/crates/playbill/src/letters.rs
@@ -371,18 +371,15 @@
     pub workers: Vec<String>,
 }
 
-/// The share of the slack of the retry budget that each named node may use.
+/// Which nodes may use a share of the slack of the retry budget: those added
+/// and those taken off, and how much each of all that are named has.
 #[derive(Clone, PartialEq, Message)]
 pub struct AllowanceChange {
-    #[prost(message, repeated, tag = "1")]
-    pub put: Vec<Allowance>,
-}
-
-#[derive(Clone, PartialEq, Message)]
-pub struct Allowance {
-    #[prost(uint64, tag = "1")]
-    pub node: u64,
-    #[prost(double, tag = "2")]
+    #[prost(fixed64, repeated, tag = "1")]
+    pub put: Vec<u64>,
+    #[prost(fixed64, repeated, tag = "2")]
+    pub gone: Vec<u64>,
+    #[prost(double, tag = "3")]
     pub slack: f64,
 }
 
@@ -405,8 +402,11 @@
     pub holdings: Vec<Holding>,
     #[prost(message, repeated, tag = "8")]
     pub fractions: Vec<Fraction>,
-    #[prost(message, repeated, tag = "9")]
-    pub allowances: Vec<Allowance>,
+    /// Nodes with a share of the retry slack, and that share.
+    #[prost(fixed64, repeated, tag = "9")]
+    pub allowances: Vec<u64>,
+    #[prost(double, tag = "13")]
+    pub slack: f64,
     /// Zones taken back from an evacuation, and the index at which they were.
     #[prost(message, repeated, tag = "10")]
     pub returned: Vec<ZoneReturn>,
--- a/crates/playbill/src/stage.rs
+++ b/crates/playbill/src/stage.rs
@@ -41,7 +41,9 @@
     /// Workers that fail or lag behind their fellows.
     pub benched: Arc<BTreeSet<String>>,
     pub fractions: Arc<Vec<Fraction>>,
-    pub allowances: BTreeMap<u64, f64>,
+    /// Nodes with a share of the retry slack, and that share.
+    pub allowances: Arc<BTreeSet<u64>>,
+    pub slack: f64,
 }
 
 impl Stage {
@@ -159,7 +161,10 @@
                 Outcome::Applied
             }
             Some(ChangeKind::Allowance(a)) => {
-                self.allowances = a.put.into_iter().map(|x| (x.node, x.slack)).collect();
+                let nodes = Arc::make_mut(&mut self.allowances);
+                nodes.retain(|n| !a.gone.contains(n));
+                nodes.extend(a.put);
+                self.slack = a.slack;
                 Outcome::Applied
             }
             Some(ChangeKind::Bench(b)) => {
@@ -242,11 +247,8 @@
             workers: self.workers.values().map(|w| (**w).clone()).collect(),
             holdings: self.holdings.values().flat_map(|t| t.values().cloned()).collect(),
             fractions: self.fractions.to_vec(),
-            allowances: self
-                .allowances
-                .iter()
-                .map(|(n, s)| Allowance { node: *n, slack: *s })
-                .collect(),
+            allowances: self.allowances.iter().copied().collect(),
+            slack: self.slack,
             returned: self
                 .returned
                 .iter()
@@ -298,7 +300,8 @@
             benched: Arc::new(image.benched.into_iter().collect()),
             holdings: BTreeMap::new(),
             fractions: Arc::new(image.fractions),
-            allowances: image.allowances.into_iter().map(|a| (a.node, a.slack)).collect(),
+            allowances: Arc::new(image.allowances.into_iter().collect()),
+            slack: image.slack,
         };
         for h in image.holdings {
             let table = stage.holdings.entry(h.service.clone()).or_default();
--- a/crates/playhouse/src/conductor/mod.rs
+++ b/crates/playhouse/src/conductor/mod.rs
@@ -66,6 +66,7 @@
         snapshot_resend: c::SNAPSHOT_RESEND_MS,
         follower_gone: c::FOLLOWER_GONE_MS,
         append_bytes: c::APPEND_BYTES,
+        tail_bytes: c::LOG_TAIL_BYTES,
     };
     let stage = Stage::from_snapshot(saved.snapshot.index, &saved.snapshot.data);
     let prompter = Prompter::new(identity.id, saved, timing, house.now(), rand::thread_rng().gen());
@@ -190,11 +191,16 @@
 
 impl Conductor {
     fn schedule(&self, ctx: &mut Context<Self>) {
-        let wait = self
-            .prompter
-            .next_tick()
-            .saturating_sub(self.house.now())
-            .clamp(10, 200);
+        // Who cannot vote and knows where it stands has nothing to wait for here.
+        let idle = self.vault.is_none() && self.house.standing.get().current;
+        let wait = if idle {
+            c::CONTACT_MS
+        } else {
+            self.prompter
+                .next_tick()
+                .saturating_sub(self.house.now())
+                .clamp(10, 200)
+        };
         ctx.run_later(Duration::from_millis(wait), |me, ctx| {
             let now = me.house.now();
             me.watch_disk(now);
@@ -273,7 +279,8 @@
                 break;
             }
         }
-        let long = self.prompter.log_len() > c::LOG_KEEP || self.prompter.log_bytes() > c::LOG_KEEP_BYTES;
+        let room = c::LOG_KEEP_BYTES.max(self.prompter.snapshot_bytes());
+        let long = self.prompter.log_len() > c::LOG_KEEP || self.prompter.log_bytes() > room;
         if long {
             self.prompter.compact(self.stage.image().encode_to_vec());
         }
--- a/crates/playhouse/src/conductor/tending.rs
+++ b/crates/playhouse/src/conductor/tending.rs
@@ -6,6 +6,7 @@
 use playbill::constants as c;
 use playbill::letters::Matter;
 use prompter::{next_roll, FollowTiming, Losses, Patience, Seen, Source, Voter};
+use rand::seq::SliceRandom;
 use rand::Rng;
 use std::collections::BTreeSet;
 
@@ -192,16 +193,15 @@
         }
         self.asked_peers = now;
         let members = self.house.members.get();
-        let me = self.prompter.id();
-        for m in members
-            .iter()
-            .filter(|m| m.id != me && m.ready && m.is_alive())
-            .take(3)
-        {
-            self.post(
-                m.address.clone(),
-                Matter::Digests(understudy::digests(&self.stage)),
-            );
+        let (me, zone) = (self.prompter.id(), &self.house.settings.get().own_entity.zone);
+        let able = members.iter().filter(|m| m.id != me && m.ready && m.is_alive());
+        let (near, far): (Vec<_>, Vec<_>) = able.partition(|m| m.zone == *zone);
+        // After a loss all ask at the same time: not all the same peers.
+        let mut rng = rand::thread_rng();
+        let asked = near.choose(&mut rng).into_iter().chain(far.choose(&mut rng));
+        let digests = understudy::digests(&self.stage);
+        for m in asked {
+            self.post(m.address.clone(), Matter::Digests(digests.clone()));
         }
     }
 
--- a/crates/playhouse/src/kernel.rs
+++ b/crates/playhouse/src/kernel.rs
@@ -95,6 +95,12 @@
             .cloned()
     }
 
+    /// Whether this node may ever lead: only those with a disk vote, and the
+    /// duties of a leader wake nobody else.
+    pub fn may_lead(&self) -> bool {
+        self.settings.get().own_entity.data_directory.is_some()
+    }
+
     /// Whether this node takes clients: it is current, it has a configuration
     /// and it is not about to end.
     pub fn is_open(&self) -> bool {
--- a/crates/playhouse/src/keys.rs
+++ b/crates/playhouse/src/keys.rs
@@ -14,6 +14,9 @@
 inventory::submit! { Plugin { name: "keys", order: 60, start } }
 
 fn start(house: &Rc<House>) -> Result<(), String> {
+    if !house.may_lead() {
+        return Ok(());
+    }
     let bounds = &house.settings.get().terms.bounds;
     let wardrobe = Wardrobe::new(bounds.hold_limit.0, bounds.thaw.0);
     let dresser = Dresser {
--- a/crates/playhouse/src/lobby.rs
+++ b/crates/playhouse/src/lobby.rs
@@ -70,7 +70,7 @@
     .start();
     house.put(lobby.clone());
     actix_rt::spawn(async move {
-        let mut buf = vec![0u8; 8192];
+        let mut buf = vec![0u8; 16 * 1024];
         loop {
             match socket.recv_from(&mut buf).await {
                 Ok((n, from)) => {
@@ -111,6 +111,15 @@
 }
 
 impl Lobby {
+    fn schedule(&mut self, ctx: &mut Context<Self>) {
+        let now = self.house.now();
+        self.board.tick(now);
+        self.flush();
+        let wait = self.board.next_tick().saturating_sub(now);
+        let wait = Duration::from_millis(wait.max(c::PROBE_WAIT_MS / 10));
+        ctx.run_later(wait, Self::schedule);
+    }
+
     fn flush(&mut self) {
         for (to, notice) in self.board.take_out() {
             if let Ok(to) = to.parse::<SocketAddr>() {
@@ -146,10 +155,7 @@
 impl Actor for Lobby {
     type Context = Context<Self>;
     fn started(&mut self, ctx: &mut Self::Context) {
-        ctx.run_interval(Duration::from_millis(c::PROBE_WAIT_MS / 2), |lobby, _| {
-            lobby.board.tick(lobby.house.now());
-            lobby.flush();
-        });
+        self.schedule(ctx);
         ctx.run_interval(Duration::from_millis(c::REPORT_EVERY_MS), |lobby, _| {
             lobby.publish_rtt()
         });
--- a/crates/playhouse/src/placement.rs
+++ b/crates/playhouse/src/placement.rs
@@ -5,16 +5,17 @@
 use actix::prelude::*;
 use boxoffice::{Bench, Ledger, Options, Placement};
 use playbill::constants as c;
-use playbill::letters::{
-    Allowance, AllowanceChange, BenchChange, ChangeKind, Fraction, PlacementChange, Report,
-};
-use std::collections::{BTreeMap, BTreeSet};
+use playbill::letters::{AllowanceChange, BenchChange, ChangeKind, Fraction, PlacementChange, Report};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 inventory::submit! { Plugin { name: "placement", order: 35, start } }
 
 fn start(house: &Rc<House>) -> Result<(), String> {
+    if !house.may_lead() {
+        return Ok(());
+    }
     let treasurer = Treasurer {
         house: house.clone(),
         ledger: Ledger::default(),
@@ -190,17 +191,17 @@
             .filter(|m| m.is_alive() && m.ready && m.id != 0)
             .map(|m| m.id)
             .collect();
-        let named: BTreeSet<u64> = stage.allowances.keys().copied().collect();
-        if up.is_empty() || up == named {
+        let named = &*stage.allowances;
+        if up.is_empty() || up == *named {
             return None;
         }
-        let slack = self.house.settings.get().terms.bounds.retry_slack * c::SLACK_PART
-            / up.len().max(named.len()) as f64;
-        let slack: BTreeMap<u64, f64> = up.iter().map(|id| (*id, slack)).collect();
-        let put = slack
-            .into_iter()
-            .map(|(node, slack)| Allowance { node, slack })
-            .collect();
-        Some(ChangeKind::Allowance(AllowanceChange { put }))
+        // Who was taken off may have used its share within the window still.
+        let sharers = up.len().max(named.len()) as f64;
+        let slack = self.house.settings.get().terms.bounds.retry_slack * c::SLACK_PART / sharers;
+        Some(ChangeKind::Allowance(AllowanceChange {
+            put: up.difference(named).copied().collect(),
+            gone: named.difference(&up).copied().collect(),
+            slack,
+        }))
     }
 }
--- a/crates/playhouse/src/platform.rs
+++ b/crates/playhouse/src/platform.rs
@@ -15,6 +15,9 @@
 inventory::submit! { Plugin { name: "platform", order: 50, start } }
 
 fn start(house: &Rc<House>) -> Result<(), String> {
+    if !house.may_lead() {
+        return Ok(());
+    }
     let house = house.clone();
     actix_rt::spawn(async move {
         let mut agent = Agent {
--- a/crates/playhouse/src/post.rs
+++ b/crates/playhouse/src/post.rs
@@ -137,6 +137,14 @@
 
 async fn speak_to(to: String, mut queue: mpsc::Receiver<Vec<u8>>, house: Rc<House>) {
     let mut stream: Option<TcpStream> = None;
+    // A voter's word to another is needed soon, and tried anew at once. Others may
+    // stand behind a narrow link that is full: they must not give up for ever.
+    let most = if house.may_lead() {
+        c::PEER_CONNECT_MS
+    } else {
+        c::CONNECT_MS
+    };
+    let mut wait = c::PEER_CONNECT_MS;
     while let Some(mut frame) = queue.recv().await {
         // What has queued up goes out in one write.
         while let Ok(more) = queue.try_recv() {
@@ -146,9 +154,13 @@
             stream = None;
         }
         if stream.is_none() {
-            match sockets::connect(&to, c::PEER_CONNECT_MS).await {
-                Ok(s) => stream = Some(s),
+            match sockets::connect(&to, wait).await {
+                Ok(s) => {
+                    stream = Some(s);
+                    wait = c::PEER_CONNECT_MS;
+                }
                 Err(_) => {
+                    wait = (wait * 2).min(most);
                     house.counters.add("peer_connects_failed");
                     actix_rt::time::sleep(Duration::from_millis(c::RECONNECT_MS)).await;
                     while queue.try_recv().is_ok() {}
--- a/crates/prompter/src/machine.rs
+++ b/crates/prompter/src/machine.rs
@@ -20,6 +20,8 @@
     /// A follower silent for longer is fed no more.
     pub follower_gone: u64,
     pub append_bytes: usize,
+    /// Bytes of folded entries that are kept for those that lag.
+    pub tail_bytes: usize,
 }
 
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -77,7 +79,12 @@
     term: u64,
     vote: u64,
     snapshot: Snapshot,
+    /// Index and term of the entry before the first of the log. The log reaches
+    /// back behind the snapshot, so that whoever lags a little is sent a little.
+    base: (u64, u64),
     log: VecDeque<Entry>,
+    /// Bytes of the entries after the snapshot.
+    log_bytes: usize,
     stable: u64,
     commit: u64,
     /// The highest commit index that a leader has told this node of.
@@ -128,6 +135,8 @@
             told_commit: 0,
             handed: saved.snapshot.index,
             applied: saved.snapshot.index,
+            base: (saved.snapshot.index, saved.snapshot.term),
+            log_bytes: saved.entries.iter().map(|e| e.data.len()).sum(),
             log: saved.entries.into(),
             snapshot: saved.snapshot,
             role: Role::Follower,
@@ -211,12 +220,17 @@
     pub fn is_current(&self) -> bool {
         self.is_settled() || self.leader != 0 && self.told_commit > 0 && self.commit >= self.told_commit
     }
+    /// Entries since the snapshot.
     pub fn log_len(&self) -> usize {
-        self.log.len()
+        (self.last_index() - self.snapshot.index) as usize
     }
-    /// The size of the log since the snapshot, in bytes.
+    /// Their size, in bytes.
     pub fn log_bytes(&self) -> usize {
-        self.log.iter().map(|e| e.data.len()).sum()
+        self.log_bytes
+    }
+    /// The size of the snapshot, in bytes.
+    pub fn snapshot_bytes(&self) -> usize {
+        self.snapshot.data.len()
     }
     pub fn is_leader(&self) -> bool {
         self.role == Role::Leader
@@ -289,12 +303,29 @@
             roll: Some(roll),
             data,
         };
-        while self.log.front().is_some_and(|e| e.index <= index) {
-            self.log.pop_front();
+        // The youngest entries that are folded stay at hand.
+        let folded = (index - self.base.0) as usize;
+        let (mut kept, mut bytes) = (0, 0);
+        for e in self.log.iter().take(folded).rev() {
+            bytes += e.data.len();
+            if bytes > self.timing.tail_bytes {
+                break;
+            }
+            kept += 1;
         }
+        self.drop_front(folded - kept);
+        let fresh = self.log.iter().skip(kept);
+        self.log_bytes = fresh.map(|e| e.data.len()).sum();
         self.out.write.snapshot = Some(self.snapshot.clone());
     }
 
+    /// Drops the oldest entries of the log.
+    fn drop_front(&mut self, count: usize) {
+        if let Some(last) = self.log.drain(..count).next_back() {
+            self.base = (last.index, last.term);
+        }
+    }
+
     /// A node whose disk is in trouble neither leads nor stands for election.
     pub fn set_unfit(&mut self, unfit: bool) {
         self.unfit = unfit;
@@ -768,15 +799,15 @@
         }
         reply.index = snapshot.index;
         if self.term_at(snapshot.index) == Some(snapshot.term) {
-            while self.log.front().is_some_and(|e| e.index <= snapshot.index) {
-                self.log.pop_front();
-            }
+            self.drop_front((snapshot.index - self.base.0) as usize);
         } else {
             self.log.clear();
             self.out.write.entries.clear();
             self.out.write.cut_from = Some(0);
             self.stable = snapshot.index;
         }
+        self.base = (snapshot.index, snapshot.term);
+        self.log_bytes = self.log.iter().map(|e| e.data.len()).sum();
         self.stable = self.stable.max(snapshot.index);
         self.commit = snapshot.index;
         self.handed = snapshot.index;
@@ -936,7 +967,7 @@
         if p.next > p.matched + 1 && self.now.saturating_sub(p.sent_at) >= self.timing.resend {
             p.next = p.matched + 1;
         }
-        if p.next <= self.snapshot.index {
+        if p.next <= self.base.0 {
             let due = p
                 .snapshot_at
                 .is_none_or(|at| self.now.saturating_sub(at) >= self.timing.snapshot_resend);
@@ -981,7 +1012,7 @@
 
     /// Entries of the log, as many as one message may carry.
     fn entries_from(&self, first: u64, last: u64) -> Vec<Entry> {
-        let skip = (first - self.snapshot.index - 1) as usize;
+        let skip = (first - self.base.0 - 1) as usize;
         let mut bytes = 0;
         let mut entries = Vec::new();
         for e in self.log.iter().skip(skip).take_while(|e| e.index <= last) {
@@ -1013,10 +1044,10 @@
     // ---- the log ----
 
     fn term_at(&self, index: u64) -> Option<u64> {
-        if index == self.snapshot.index {
-            return Some(self.snapshot.term);
+        if index == self.base.0 {
+            return Some(self.base.1);
         }
-        let offset = index.checked_sub(self.snapshot.index + 1)?;
+        let offset = index.checked_sub(self.base.0 + 1)?;
         self.log.get(offset as usize).map(|e| e.term)
     }
 
@@ -1027,12 +1058,14 @@
             }
         }
         self.out.write.entries.push(entry.clone());
+        self.log_bytes += entry.data.len();
         self.log.push_back(entry);
     }
 
     fn cut(&mut self, from: u64) {
-        while self.log.back().is_some_and(|e| e.index >= from) {
-            self.log.pop_back();
+        let kept = from.saturating_sub(self.base.0 + 1) as usize;
+        for e in self.log.drain(kept.min(self.log.len())..) {
+            self.log_bytes -= e.data.len();
         }
         self.out.write.entries.retain(|e| e.index < from);
         let cut = self.out.write.cut_from.map_or(from, |c| c.min(from));
--- a/crates/prompter/src/machine/relay.rs
+++ b/crates/prompter/src/machine/relay.rs
@@ -165,7 +165,7 @@
         if f.next > f.matched + 1 && now.saturating_sub(f.sent_at) >= self.timing.resend {
             f.next = f.matched + 1;
         }
-        if f.next <= self.snapshot.index {
+        if f.next <= self.base.0 {
             let due = f
                 .snapshot_at
                 .is_none_or(|at| now.saturating_sub(at) >= self.timing.snapshot_resend);
--- a/crates/rehearsal/src/node.rs
+++ b/crates/rehearsal/src/node.rs
@@ -20,6 +20,7 @@
     snapshot_resend: c::SNAPSHOT_RESEND_MS,
     follower_gone: c::FOLLOWER_GONE_MS,
     append_bytes: c::APPEND_BYTES,
+    tail_bytes: c::LOG_TAIL_BYTES,
 };
 
 /// What waits for a write: its number, messages, and the last entry and its term.
--- a/crates/understudy/src/lib.rs
+++ b/crates/understudy/src/lib.rs
@@ -52,6 +52,7 @@
     }
     if wanted(3) {
         part.allowances = image.allowances.clone();
+        part.slack = image.slack;
         part.benched = image.benched.clone();
     }
     part.workers = image
@@ -132,6 +133,7 @@
     }
     if given(3) {
         image.allowances = newer.allowances.clone();
+        image.slack = newer.slack;
         image.benched = newer.benched.clone();
     }
     image.workers.extend(newer.workers.iter().cloned());
--- a/crates/usher/src/pool.rs
+++ b/crates/usher/src/pool.rs
@@ -23,6 +23,8 @@
 pub struct Pool {
     /// Workers, and how many connections this node may have to each.
     pub members: Vec<(Arc<Worker>, u32)>,
+    /// How many nodes of its zone share a worker of this node's zone.
+    pub sharers: f64,
 }
 
 impl Pool {
@@ -30,11 +32,14 @@
     pub fn new(workers: &[Arc<Worker>], zone: &str, limit: u32, keyed: bool, place: Place) -> Pool {
         let edges = place.edges.max(1);
         let each = limit / (edges as u32 + 1);
-        if keyed || each >= c::CONNECTIONS_EACH {
+        let scarce = each < c::CONNECTIONS_EACH;
+        if keyed || !scarce && workers.len() <= c::POOL_ALL {
             let each = each.max(1);
             let members = workers.iter().map(|w| (w.clone(), each)).collect();
-            return Pool { members };
+            let sharers = place.in_zone.max(1) as f64;
+            return Pool { members, sharers };
         }
+        let mut shared = 1.0;
         let mut zones: Vec<&str> = workers.iter().map(|w| w.zone.as_str()).collect();
         zones.sort_unstable();
         zones.dedup();
@@ -49,24 +54,35 @@
                 continue;
             }
             let near = at == zone;
-            let (part, number, nodes) = if near {
-                (c::NEAR_PART, place.number_in_zone, place.in_zone.max(1))
+            let in_zone = (place.number_in_zone, place.in_zone.max(1));
+            // Where connections abound, the nodes of each zone spread over all
+            // workers of every other, so that a zone that loses its own workers
+            // weighs evenly on them.
+            let (number, nodes) = if near || !scarce {
+                in_zone
             } else {
-                (c::FAR_PART, place.number, edges)
+                (place.number, edges)
             };
-            let room = f64::from(limit) * part;
+            let room = f64::from(limit) * if near { c::NEAR_PART } else { c::FAR_PART };
             let size = if near {
                 c::WINDOW.min(here.len())
-            } else {
+            } else if scarce {
                 let fits = (room * here.len() as f64 / nodes as f64) as usize;
                 fits.clamp(1, c::FAR_WINDOW).min(here.len())
+            } else {
+                c::FAR_WINDOW.min(here.len())
             };
-            let sharers = (nodes * size).div_ceil(here.len());
+            let callers = if near { nodes } else { edges };
+            let sharers = (callers * size).div_ceil(here.len());
             let each = ((room / sharers as f64) as u32).max(1);
-            let each = if near { each } else { 1 };
+            let each = if near || !scarce { each } else { 1 };
+            if near {
+                shared = sharers as f64;
+            }
             members.extend(window(&here, number, nodes, size).map(|w| (w, each)));
         }
-        Pool { members }
+        let sharers = shared;
+        Pool { members, sharers }
     }
 }
 
--- a/crates/usher/src/seats.rs
+++ b/crates/usher/src/seats.rs
@@ -80,9 +80,17 @@
     region: String,
     cold_seen: u64,
     returned_seen: u64,
+    /// It is cold between these times.
+    cold_since: u64,
     cold_until: u64,
-    next_cold: u64,
+    /// When it was last given a request while cold.
+    cold_sent: u64,
+    /// Where in the pause between two requests this node's turn comes first, as
+    /// a part of it: all nodes hear at once that a worker is cold.
+    cold_turn: f64,
     inflight: u32,
+    /// Requests sent there that are remembered, fading, and as of when.
+    recent: (f64, u64),
     answer_ms: f64,
     /// It has answered us before.
     known: bool,
@@ -97,6 +105,37 @@
     answered_ms: f64,
 }
 
+impl Seat {
+    /// Takes note that it is cold for so long from now.
+    fn cool(&mut self, now: u64, for_ms: u64) {
+        if now >= self.cold_until {
+            self.cold_since = now;
+        }
+        self.cold_until = self.cold_until.max(now + for_ms);
+    }
+
+    fn is_cold(&self, now: u64) -> bool {
+        now < self.cold_until
+    }
+
+    /// Whether it is this node's turn at a cold worker, of which each comes
+    /// after `gap` ms.
+    fn has_turn(&self, now: u64, gap: f64) -> bool {
+        let due = if self.cold_sent > self.cold_since {
+            self.cold_sent as f64 + gap
+        } else {
+            self.cold_since as f64 + gap * self.cold_turn
+        };
+        now as f64 >= due
+    }
+
+    /// Requests remembered as of now.
+    fn recent(&self, now: u64) -> f64 {
+        let (count, at) = self.recent;
+        count * (-(now.saturating_sub(at) as f64) / c::RECENT_MS).exp()
+    }
+}
+
 pub struct Usher {
     zone: String,
     region: String,
@@ -193,6 +232,7 @@
             self.seats.remove(id);
         }
         let mut means: HashMap<&str, f64> = HashMap::new();
+        let mut rng = self.rng.clone();
         for (id, worker) in stage.workers.iter() {
             if self.seats.get(id).is_some_and(|s| Arc::ptr_eq(&s.worker, worker)) {
                 continue;
@@ -209,9 +249,12 @@
                 region,
                 cold_seen: 0,
                 returned_seen: 0,
+                cold_since: 0,
                 cold_until: 0,
-                next_cold: 0,
+                cold_sent: 0,
+                cold_turn: rng.gen(),
                 inflight: 0,
+                recent: (0.0, now),
                 answer_ms: mean,
                 known: false,
                 answered_at: now,
@@ -225,13 +268,14 @@
             seat.worker = worker.clone();
             if worker.cold_ms > 0 && worker.cold_at != seat.cold_seen {
                 seat.cold_seen = worker.cold_at;
-                seat.cold_until = seat.cold_until.max(now + worker.cold_ms + c::COLD_MARGIN_MS);
+                seat.cool(now, worker.cold_ms + c::COLD_MARGIN_MS);
             }
             if returned > seat.returned_seen {
                 seat.returned_seen = returned;
-                seat.cold_until = seat.cold_until.max(now + returned_cold(stage, worker));
+                seat.cool(now, returned_cold(stage, worker));
             }
         }
+        self.rng = rng;
         self.by_service.clear();
         self.pools.clear();
         for (id, seat) in &self.seats {
@@ -252,7 +296,7 @@
             let returned = stage.returned.get(&seat.worker.zone).copied().unwrap_or(0);
             if returned > seat.returned_seen {
                 seat.returned_seen = returned;
-                seat.cold_until = seat.cold_until.max(now + returned_cold(stage, &seat.worker));
+                seat.cool(now, returned_cold(stage, &seat.worker));
             }
         }
     }
@@ -323,26 +367,22 @@
             None => return Found::Nobody(self.come_back(now, request)),
         };
         if !request.tried.is_empty() {
-            let slack = self
-                .stage
-                .allowances
-                .get(&self.neighbours.me)
-                .copied()
-                .unwrap_or(0.0);
+            let named = self.stage.allowances.contains(&self.neighbours.me);
+            let slack = if named { self.stage.slack } else { 0.0 };
             let ratio = self.bounds.retry_ratio * c::BUDGET_PART;
             let budget = self.budgets.entry(request.service.to_string()).or_default();
             if !budget.further_try(now, window, ratio, slack) {
                 return Found::Spent;
             }
         }
-        let gap = self.cold_gap(&found, request.key.is_some());
         let rtt = self.rtt(&found);
         let Some(seat) = self.seats.get_mut(&found) else {
             return Found::Nobody(c::RETRY_AFTER_MS);
         };
         seat.inflight += 1;
-        if now < seat.cold_until {
-            seat.next_cold = now + gap;
+        seat.recent = (seat.recent(now) + 1.0, now);
+        if seat.is_cold(now) {
+            seat.cold_sent = now;
         }
         Found::Worker(Choice {
             id: found,
@@ -367,41 +407,48 @@
         }
     }
 
-    /// Time between two requests that this node may send to a cold worker:
-    /// its share of what the worker bears. Only nodes of the worker's own zone
-    /// use it at all, except where it alone holds a key.
-    fn cold_gap(&self, id: &str, keyed: bool) -> u64 {
-        let Some(seat) = self.seats.get(id) else { return 0 };
-        let rate = self
-            .stage
-            .config
-            .as_ref()
-            .and_then(|c| c.services.get(seat.worker.service.as_str()))
-            .map_or(0.0, |s| s.cold_rate);
-        let sharers = if keyed {
-            self.neighbours.place.edges
-        } else {
-            self.neighbours.place.in_zone
+    /// Requests a second that all nodes together give a cold worker.
+    fn cold_rate(&self, seat: &Seat) -> f64 {
+        let config = self.stage.config.as_ref();
+        let service = config.and_then(|c| c.services.get(seat.worker.service.as_str()));
+        // Without a figure, one a second.
+        let rate = service.map_or(0.0, |s| s.cold_rate);
+        c::COLD_PART * if rate > 0.0 { rate } else { 1.0 }
+    }
+
+    /// Whether a worker without keys may be given a request as far as its being
+    /// cold goes. Only nodes of its own zone use a cold worker, each in its turn.
+    fn may_while_cold(&self, now: u64, seat: &Seat, sharers: f64) -> bool {
+        let gap = 1000.0 * sharers / self.cold_rate(seat);
+        !seat.is_cold(now) || seat.worker.zone == self.zone && seat.has_turn(now, gap)
+    }
+
+    /// The same for a holder of keys, which all nodes call. Among hundreds a turn
+    /// comes too seldom to serve anybody; there each request is admitted by
+    /// chance, the less likely the busier the worker has been as this node saw it.
+    fn admits_while_cold(&mut self, now: u64, id: &str) -> bool {
+        let Some(seat) = self.seats.get(id).filter(|s| s.is_cold(now)) else {
+            return true;
         };
-        let share = rate * c::COLD_PART / sharers.max(1) as f64;
-        if share <= 0.0 {
-            1000
-        } else {
-            (1000.0 / share).ceil() as u64
+        let edges = self.neighbours.place.edges.max(1) as f64;
+        let bears = self.cold_rate(seat);
+        let gap = 1000.0 * edges / bears;
+        if gap <= c::RECENT_MS / 4.0 {
+            return seat.has_turn(now, gap);
         }
+        let busy = seat.recent(now) * 1000.0 / c::RECENT_MS * edges;
+        busy <= bears || self.rng.gen::<f64>() < bears / busy
     }
 
     /// Whether a worker may be given a request at all.
-    fn may(&self, now: u64, seat: &Seat, each: u32, request: &Request) -> bool {
+    fn may(&self, seat: &Seat, each: u32, request: &Request) -> bool {
         let w = &seat.worker;
         let homes = &request.route.homes;
-        let cold = now < seat.cold_until;
         !w.draining
             && !self.stage.evacuated.contains_key(&w.zone)
             && (homes.is_empty() || homes.contains(&seat.region))
             && !request.tried.contains(&w.id)
             && seat.inflight < each
-            && (!cold || now >= seat.next_cold && (request.key.is_some() || w.zone == self.zone))
     }
 
     fn candidate(&mut self, now: u64, request: &Request) -> Option<String> {
@@ -413,8 +460,10 @@
             }
             let seat = self.seats.get(&holding.worker)?;
             let each = pool.members.first().map_or(1, |(_, each)| *each);
-            let free = (now >= seat.left_alone_until || seat.inflight == 0) && !self.hopeless(seat, request);
-            return (free && self.may(now, seat, each, request)).then(|| holding.worker.clone());
+            let free =
+                (now >= seat.left_alone_until || seat.inflight == 0) && !self.hopeless(seat, request, &pool);
+            let id = (free && self.may(seat, each, request)).then(|| holding.worker.clone())?;
+            return self.admits_while_cold(now, &id).then_some(id);
         }
         let mut best: Option<(f64, &Arc<Worker>)> = None;
         let mut spare: Option<&Arc<Worker>> = None;
@@ -422,7 +471,8 @@
             let Some(seat) = self.seats.get(&worker.id) else {
                 continue;
             };
-            if !self.may(now, seat, *each, request) || self.hopeless(seat, request) {
+            let may = self.may(seat, *each, request) && self.may_while_cold(now, seat, pool.sharers);
+            if !may || self.hopeless(seat, request, &pool) {
                 continue;
             }
             if now < seat.left_alone_until || self.stage.benched.contains(&worker.id) {
@@ -432,7 +482,7 @@
                 }
                 continue;
             }
-            let mut cost = self.cost(seat, request) * self.rng.gen_range(0.95..1.05);
+            let mut cost = self.cost(seat, request, &pool) * self.rng.gen_range(0.95..1.05);
             if now < seat.trial_until {
                 let left = (seat.trial_until - now) as f64 / c::TRIAL_MS as f64;
                 cost *= 1.0 + (c::TRIAL_PRICE - 1.0) * left;
@@ -445,23 +495,23 @@
     }
 
     /// When a worker is expected to answer, in ms, as far as this node sees.
-    fn expected(&self, seat: &Seat) -> f64 {
-        let load = f64::from(seat.inflight) * self.neighbours.place.in_zone.max(1) as f64;
+    fn expected(&self, seat: &Seat, pool: &Pool) -> f64 {
+        let load = f64::from(seat.inflight) * pool.sharers;
         let used = load / f64::from(seat.worker.slots.max(1));
         seat.answer_ms * (1.0 + 0.3 * used + (used - 1.0).max(0.0))
     }
 
     /// Whether a request has any prospect of being answered in time there. The
     /// less its rank, the sooner it makes room.
-    fn hopeless(&self, seat: &Seat, request: &Request) -> bool {
+    fn hopeless(&self, seat: &Seat, request: &Request, pool: &Pool) -> bool {
         let patience = c::PATIENCE / (1.0 + c::RANK_STEP * f64::from(request.route.priority));
-        self.expected(seat) > patience * request.left_ms as f64
+        self.expected(seat, pool) > patience * request.left_ms as f64
     }
 
     /// What sending a request there costs, in ms: the expected answer time and
     /// a price for leaving the zone or the region.
-    fn cost(&self, seat: &Seat, request: &Request) -> f64 {
-        let answer = self.expected(seat);
+    fn cost(&self, seat: &Seat, request: &Request, pool: &Pool) -> f64 {
+        let answer = self.expected(seat, pool);
         let aim = request.route.aim_ms as f64;
         let distance = if seat.worker.zone == request.zone.unwrap_or(&self.zone) {
             0.0
--- a/crates/wardrobe/src/lib.rs
+++ b/crates/wardrobe/src/lib.rs
@@ -12,7 +12,7 @@
 use playbill::constants as c;
 use playbill::letters::{Capacity, Holding, KeyCounts};
 use playbill::Stage;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 
 /// A call to a worker that gives it keys, or gives them again.
 #[derive(Clone, Debug, PartialEq)]
@@ -94,6 +94,10 @@
     /// Workers that answered no grant, and until when they get no keys.
     shunned: BTreeMap<String, u64>,
     loads: Loads,
+    /// Pause between two renewals of a grant.
+    renew_ms: u64,
+    /// Loads were counted since the last look at their balance.
+    counted: bool,
 }
 
 impl Wardrobe {
@@ -110,6 +114,8 @@
             cold: BTreeMap::new(),
             shunned: BTreeMap::new(),
             loads: Loads::default(),
+            renew_ms: c::RENEW_MS,
+            counted: true,
         }
     }
 
@@ -153,20 +159,22 @@
             return Vec::new();
         };
         self.note_cold(now, stage);
-        self.loads.close(now);
+        self.counted |= self.loads.close(now);
         let holdings: Vec<Holding> = stage
             .holdings
             .values()
             .flat_map(|t| t.values().cloned())
             .collect();
-        self.tracks.retain(|(s, f, fence), t| {
-            t.busy
-                || holdings
-                    .iter()
-                    .any(|h| h.service == *s && h.from == *f && h.fence == *fence)
-        });
-        self.holds
-            .retain(|fence, _| holdings.iter().any(|h| h.fence == *fence));
+        // With hundreds of holders a look at each for every other would take
+        // the leader longer than the renewals.
+        let held: HashSet<(&str, u32, u64)> = holdings
+            .iter()
+            .map(|h| (h.service.as_str(), h.from, h.fence))
+            .collect();
+        self.tracks
+            .retain(|(s, from, fence), t| t.busy || held.contains(&(s.as_str(), *from, *fence)));
+        let fences: HashSet<u64> = holdings.iter().map(|h| h.fence).collect();
+        self.holds.retain(|fence, _| fences.contains(fence));
         // A grant under way covers what its range was when it was sent, which
         // may be more than the holding is now.
         let flying: Vec<(u64, (u32, u32))> = self
@@ -176,6 +184,7 @@
             .map(|((_, _, fence), t)| (*fence, t.sent))
             .collect();
         let mut acts = Vec::new();
+        let mut grants: Vec<(u64, GrantCall)> = Vec::new();
         let mut puts: Vec<Holding> = Vec::new();
         let mut moving = false;
         for h in &holdings {
@@ -238,13 +247,23 @@
                 });
                 continue;
             }
-            track.busy = true;
-            track.sent = (h.from, h.to);
             let call = GrantCall {
                 address: worker.address.clone(),
                 holding: h.clone(),
                 hold_ms: self.hold_ms,
             };
+            grants.push((track.next_at, call));
+        }
+        // A part of all that is held in one look, the most urgent first: made all
+        // at once, hundreds of calls would hold up the heartbeats.
+        self.renew_ms = (holdings.len() as u64 * 1000 / c::GRANTS_PER_S).clamp(c::RENEW_MS, c::RENEW_MAX_MS);
+        let room = 8 + holdings.len() * 2 * c::KEYS_EVERY_MS as usize / self.renew_ms as usize;
+        grants.sort_by_key(|(due, _)| *due);
+        for (_, call) in grants.into_iter().take(room) {
+            if let Some(track) = self.tracks.get_mut(&Self::key(&call.holding)) {
+                track.busy = true;
+                track.sent = (call.holding.from, call.holding.to);
+            }
             acts.push(Act::Grant(call));
         }
         for act in &acts {
@@ -277,9 +296,13 @@
                 logged.extend(view.first(&service.name, &mut next_fence));
             }
         }
-        if logged.is_empty() && now.saturating_sub(self.stable_since) >= c::MOVE_PAUSE_MS {
+        // Balance is looked at when there is a new count to go by.
+        let calm = now.saturating_sub(self.stable_since) >= c::MOVE_PAUSE_MS;
+        let look = logged.is_empty() && self.counted && calm;
+        if look {
             logged = view.even_out();
         }
+        self.counted &= !look;
         if !logged.is_empty() {
             self.awaiting_log = true;
             acts.push(Act::Log(logged));
@@ -316,6 +339,7 @@
 
     pub fn granted(&mut self, now: u64, holding: &Holding, granted: Granted) {
         let end = self.end_of(now);
+        let renew_ms = self.renew_ms;
         if let Some(t) = self.tracks.get_mut(&Self::key(holding)) {
             t.busy = false;
             t.outrun = granted == Granted::Outrun;
@@ -324,9 +348,11 @@
             } else {
                 0
             };
+            // Not all in step: fences in turn come due in turn.
+            let turn = renew_ms / 4 * (holding.fence % 16) / 16;
             t.next_at = now
                 + if granted == Granted::Yes {
-                    c::RENEW_MS
+                    renew_ms - turn
                 } else {
                     c::RENEW_MS / 4
                 };
--- a/crates/wardrobe/src/loads.rs
+++ b/crates/wardrobe/src/loads.rs
@@ -43,11 +43,11 @@
         }
     }
 
-    /// Closes a period of counting, when one is over.
-    pub fn close(&mut self, now: u64) {
+    /// Closes a period of counting, when one is over; whether it was.
+    pub fn close(&mut self, now: u64) -> bool {
         let span = now.saturating_sub(self.closed_at);
         if span < c::KEY_COUNT_MS {
-            return;
+            return false;
         }
         self.answers.retain(|_, (sum, count)| {
             *sum *= c::KEY_ANSWERS;
@@ -66,6 +66,7 @@
             }
             load.total = load.rates.iter().map(|r| f64::from(*r)).sum();
         }
+        true
     }
 
     /// Whether enough was counted to go by.
@@ -92,21 +93,20 @@
         even * c::KEY_EVEN + counted / load.total * (1.0 - c::KEY_EVEN)
     }
 
-    /// What a worker bears compared with the mean of its fellows; never far
+    /// What each of these workers bears compared with their mean; never far
     /// from 1, since a busy worker looks slower than it is.
-    pub fn strength(&self, worker: &Worker, fellows: &[&Worker]) -> f64 {
-        let able = |w: &Worker| {
+    pub fn strengths(&self, workers: &[&Worker]) -> Vec<f64> {
+        let able = |w: &&Worker| {
             let (sum, count) = self
                 .answers
                 .get(&short(&w.id))
                 .filter(|(_, count)| *count > 3.0)?;
             Some(f64::from(w.slots.max(1)) * count / sum.max(1.0))
         };
-        let known: Vec<f64> = fellows.iter().filter_map(|w| able(w)).collect();
-        if known.is_empty() {
-            return 1.0;
-        }
-        let mean = known.iter().sum::<f64>() / known.len() as f64;
-        able(worker).map_or(1.0, |a| (a / mean).clamp(0.7, 1.4))
+        let able: Vec<Option<f64>> = workers.iter().map(able).collect();
+        let known = able.iter().flatten().count();
+        let mean = able.iter().flatten().sum::<f64>() / known.max(1) as f64;
+        let strength = |a: Option<f64>| a.map_or(1.0, |a| (a / mean).clamp(0.7, 1.4));
+        able.into_iter().map(strength).collect()
     }
 }
--- a/crates/wardrobe/src/plan.rs
+++ b/crates/wardrobe/src/plan.rs
@@ -5,6 +5,7 @@
 use playbill::letters::{Holding, Worker};
 use playbill::stage::KEYS;
 use playbill::Stage;
+use std::collections::HashMap;
 
 /// Stands for a fence that is still to be given.
 pub const NEW_FENCE: u64 = 0;
@@ -51,18 +52,19 @@
 
     fn candidates(&self, service: &str) -> Vec<Candidate<'_>> {
         let usable = self.usable(service);
+        let mut held: HashMap<&str, f64> = HashMap::new();
         let table = self.stage.holdings.get(service);
+        for h in table.into_iter().flat_map(|t| t.values()).filter(|h| !h.leaving) {
+            *held.entry(&h.worker).or_default() += self.loads.weight(service, h.from, h.to);
+        }
+        let strengths = self.loads.strengths(&usable);
         usable
-            .iter()
-            .map(|w| Candidate {
-                worker: w,
-                strength: self.loads.strength(w, &usable),
-                load: table
-                    .into_iter()
-                    .flat_map(|t| t.values())
-                    .filter(|h| h.worker == w.id && !h.leaving)
-                    .map(|h| self.loads.weight(service, h.from, h.to))
-                    .sum(),
+            .into_iter()
+            .zip(strengths)
+            .map(|(worker, strength)| Candidate {
+                worker,
+                strength,
+                load: held.get(worker.id.as_str()).copied().unwrap_or(0.0),
             })
             .collect()
     }
