--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -129,6 +129,9 @@
 /// How long keys are granted for, ms: outlasts a change of leader, and is the
 /// wait for a holder that fell silent.
 pub const HOLD_MS: u64 = 3500;
+/// How long keys are granted for the last time before they are taken back, ms:
+/// longer than workers take for all but a few requests, which end with the hold.
+pub const LAST_HOLD_MS: u64 = 6000;
 /// Pause between renewals of a grant, ms: a change of leader fits into the rest.
 pub const RENEW_MS: u64 = 800;
 /// Grants a second that the leader makes at the most in the long run: with more
--- a/crates/wardrobe/src/lib.rs
+++ b/crates/wardrobe/src/lib.rs
@@ -96,6 +96,8 @@
     /// they may have had their last, longer grant.
     inherited_leaving: HashSet<(u64, u32)>,
     hold_limit_ms: u64,
+    /// How long the last grant before a release holds.
+    last_ms: u64,
     awaiting_log: bool,
     cold: BTreeMap<String, (u64, u64)>,
     /// Workers that answered no grant, and until when they get no keys.
@@ -118,6 +120,7 @@
             inherited_top: 0,
             inherited_leaving: HashSet::new(),
             hold_limit_ms,
+            last_ms: c::LAST_HOLD_MS.min(hold_limit_ms),
             awaiting_log: false,
             cold: BTreeMap::new(),
             shunned: BTreeMap::new(),
@@ -140,7 +143,7 @@
     fn range_end(&self, h: &Holding) -> u64 {
         let hold = self.hold(h.fence).end;
         if self.inherited_leaving.contains(&(h.fence, h.from)) {
-            hold.max(self.end_after(self.inherited.settled, self.hold_limit_ms))
+            hold.max(self.end_after(self.inherited.settled, self.last_ms))
         } else {
             hold
         }
@@ -220,7 +223,7 @@
             let worker = stage.workers.get(&h.worker);
             let hold = self.hold(h.fence);
             let range_end = self.range_end(h);
-            let long_ms = self.hold_limit_ms;
+            let long_ms = self.last_ms;
             let long_end = self.end_after(now + late_ms, long_ms);
             let track = self.tracks.entry(Self::key(h)).or_default();
             let Some(worker) = worker else {
--- a/crates/wardrobe/src/tests.rs
+++ b/crates/wardrobe/src/tests.rs
@@ -176,7 +176,7 @@
         p.held_by("w1") > 0,
         "an earlier leader's last grant may still run"
     );
-    p.run(3000, "w1");
+    p.run(c::LAST_HOLD_MS, "w1");
     assert_eq!(p.held_by("w1"), 0);
     p.check_cover();
 }
@@ -254,6 +254,17 @@
             p.wardrobe.granted(p.now, &g.holding, Granted::Yes);
         }
     }
+    // First a last grant that outlasts what runs, then the release.
+    p.now += 100;
+    let acts = p.wardrobe.tick(p.now, &p.stage);
+    let last = acts.iter().find_map(|a| match a {
+        Act::Grant(g) if g.hold_ms > c::HOLD_MS => Some(g.holding.clone()),
+        _ => None,
+    });
+    let last = last.expect("a last grant");
+    assert_eq!((last.from, last.to), (0, 99));
+    assert!(!acts.iter().any(|a| matches!(a, Act::Release(_))));
+    p.wardrobe.granted(p.now, &last, Granted::Yes);
     p.now += 100;
     assert!(p
         .wardrobe
