--- a/crates/callboard/src/board.rs
+++ b/crates/callboard/src/board.rs
@@ -177,6 +177,11 @@
         self.rtt.get(address).copied()
     }
 
+    /// Whether anything was learned since the last [`Board::take_changed`].
+    pub fn has_changed(&self) -> bool {
+        self.changed
+    }
+
     /// Whether anything was learned since the last call.
     pub fn take_changed(&mut self) -> bool {
         std::mem::take(&mut self.changed)
@@ -366,7 +371,7 @@
             }
             NoticeKind::Join => self.tell_missing(from, &notice.known, true),
             NoticeKind::Compare => self.tell_missing(from, &notice.known, false),
-            NoticeKind::Meet => self.tell(from, &[self.me.clone()]),
+            NoticeKind::Meet => self.introduce(from),
             NoticeKind::News => {}
         }
         let asks = matches!(kind, NoticeKind::Join | NoticeKind::Meet);
@@ -377,6 +382,11 @@
         }
     }
 
+    fn introduce(&mut self, to: &str) {
+        let me = self.me.clone();
+        self.tell(to, std::slice::from_ref(&me));
+    }
+
     /// Tells a node what it does not know; and asks it, if it may know more.
     fn tell_missing(&mut self, to: &str, known: &[u64], ask: bool) {
         let known: BTreeSet<u64> = known.iter().copied().collect();
--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -79,6 +79,10 @@
 /// others, ms: a few kilobytes and what is missing, and only while they differ.
 pub const EXCHANGE_EVERY_MS: u64 = 600;
 
+/// Pause between two makings of the table of members, ms: hundreds are copied.
+pub const MEMBERS_EVERY_MS: u64 = 100;
+/// Up to so many members the table is made at every change, members.
+pub const MEMBERS_FEW: usize = 120;
 /// Connecting to a peer is given up after this time, ms.
 pub const CONNECT_MS: u64 = 1000;
 /// Connecting to another node is given up and begun anew after this time, ms:
@@ -199,9 +203,6 @@
 pub const ZONE_PENALTY: f64 = 0.1;
 /// The same for a worker in another region, on top of the round trip.
 pub const REGION_PENALTY: f64 = 0.5;
-/// Keys counted together, keys: with hundreds of holders a few hundred busy keys
-/// side by side must be spread over dozens of them.
-pub const KEY_BUCKET: u32 = 1;
 /// Pause between two sums of the load of keys, ms.
 pub const KEY_COUNT_MS: u64 = 500;
 /// Weight of the newest sum in the load of keys: a few seconds of traffic tell
--- a/crates/playhouse/src/desk.rs
+++ b/crates/playhouse/src/desk.rs
@@ -90,7 +90,7 @@
     usher: Usher,
     stage: Arc<Stage>,
     demand: BTreeMap<(Arc<str>, String), u64>,
-    /// Requests by service and bucket of keys.
+    /// Requests by service and key.
     keys: BTreeMap<(Arc<str>, u32), u32>,
     /// The zone of clients, as the directory learned it.
     groups: HashMap<IpAddr, String>,
@@ -259,10 +259,7 @@
                 .unwrap_or_else(|| self.house.settings.get().own_entity.zone.clone());
             *self.demand.entry((msg.service.clone(), group)).or_default() += 1;
             if let Some(key) = msg.key {
-                *self
-                    .keys
-                    .entry((msg.service.clone(), key / c::KEY_BUCKET))
-                    .or_default() += 1;
+                *self.keys.entry((msg.service.clone(), key)).or_default() += 1;
             }
         }
         let zone = self.draw_zone(&msg.service, msg.key);
--- a/crates/playhouse/src/lobby.rs
+++ b/crates/playhouse/src/lobby.rs
@@ -66,6 +66,7 @@
         house: house.clone(),
         board,
         socket: socket.clone(),
+        published: 0,
     }
     .start();
     house.put(lobby.clone());
@@ -108,6 +109,8 @@
     house: Rc<House>,
     board: Board,
     socket: Rc<UdpSocket>,
+    /// When the table of members was last made.
+    published: u64,
 }
 
 impl Lobby {
@@ -115,7 +118,10 @@
         let now = self.house.now();
         self.board.tick(now);
         self.flush();
-        let wait = self.board.next_tick().saturating_sub(now);
+        let mut wait = self.board.next_tick().saturating_sub(now);
+        if self.board.has_changed() {
+            wait = wait.min(c::MEMBERS_EVERY_MS);
+        }
         let wait = Duration::from_millis(wait.max(c::PROBE_WAIT_MS / 10));
         ctx.run_later(wait, Self::schedule);
     }
@@ -127,7 +133,13 @@
                 let _ = self.socket.try_send_to(&notice.encode_to_vec(), to);
             }
         }
-        if self.board.take_changed() {
+        // News comes in bursts when all start together; the table is made anew at
+        // most once for each, or it would cost a small node a second.
+        let now = self.house.now();
+        let due =
+            now >= self.published + c::MEMBERS_EVERY_MS || self.house.members.get().len() < c::MEMBERS_FEW;
+        if due && self.board.take_changed() {
+            self.published = now;
             let members: Vec<Member> = std::iter::once(self.board.me())
                 .chain(self.board.members())
                 .cloned()
--- a/crates/wardrobe/src/loads.rs
+++ b/crates/wardrobe/src/loads.rs
@@ -5,14 +5,13 @@
 use playbill::stage::KEYS;
 use std::collections::BTreeMap;
 
-const BUCKETS: usize = (KEYS / c::KEY_BUCKET) as usize;
-
 #[derive(Default)]
 struct ServiceLoad {
-    /// Smoothed requests a second by bucket.
+    /// Smoothed requests a second by key: with hundreds of holders a few hundred
+    /// busy keys side by side must be spread over dozens of them.
     rates: Vec<f32>,
     counted: Vec<f32>,
-    /// The sum of the rates of all buckets before each.
+    /// The sum of the rates of all keys before each.
     before: Vec<f64>,
     total: f64,
     periods: u32,
@@ -31,7 +30,7 @@
     pub fn take(&mut self, keys: &[KeyCounts], capacity: &[Capacity]) {
         for k in keys {
             let load = self.services.entry(k.service).or_default();
-            load.counted.resize(BUCKETS, 0.0);
+            load.counted.resize(KEYS as usize, 0.0);
             for (bucket, count) in k.buckets.iter().zip(&k.counts) {
                 if let Some(slot) = load.counted.get_mut(*bucket as usize) {
                     *slot += *count as f32;
@@ -59,7 +58,7 @@
         self.closed_at = now;
         let seconds = span.min(5000) as f32 / 1000.0;
         for load in self.services.values_mut() {
-            load.rates.resize(BUCKETS, 0.0);
+            load.rates.resize(KEYS as usize, 0.0);
             load.periods += 1;
             let weight = (1.0 / f64::from(load.periods)).max(c::KEY_SMOOTHING) as f32;
             for (rate, counted) in load.rates.iter_mut().zip(&mut load.counted) {
@@ -94,13 +93,7 @@
         let Some(load) = self.services.get(&short(service)).filter(|l| l.total > 1.0) else {
             return even;
         };
-        // The load of all keys before one, part of its bucket's included.
-        let before = |key: u32| {
-            let (bucket, rest) = ((key / c::KEY_BUCKET) as usize, key % c::KEY_BUCKET);
-            let rate = load.rates.get(bucket).copied().unwrap_or(0.0);
-            let whole = load.before.get(bucket).copied().unwrap_or(load.total);
-            whole + f64::from(rate) * f64::from(rest) / f64::from(c::KEY_BUCKET)
-        };
+        let before = |key: u32| load.before.get(key as usize).copied().unwrap_or(load.total);
         let counted = before(to + 1) - before(from);
         even * c::KEY_EVEN + counted / load.total * (1.0 - c::KEY_EVEN)
     }
--- a/crates/wardrobe/src/plan.rs
+++ b/crates/wardrobe/src/plan.rs
@@ -90,19 +90,14 @@
         parts
     }
 
-    /// The last key of the shortest run of buckets from `start` that weighs
-    /// as much as wanted.
+    /// The last key of the shortest run from `start` that weighs as much as wanted.
     fn reach(&self, service: &str, start: u32, to: u32, wanted: f64) -> u32 {
         let mut sum = 0.0;
-        let mut at = start;
-        loop {
-            let end = (at / c::KEY_BUCKET * c::KEY_BUCKET + c::KEY_BUCKET - 1).min(to);
-            sum += self.loads.weight(service, at, end);
-            if sum >= wanted || end == to {
-                return end;
-            }
-            at = end + 1;
-        }
+        let heavy = |key: &u32| {
+            sum += self.loads.weight(service, *key, *key);
+            sum >= wanted
+        };
+        (start..=to).find(heavy).unwrap_or(to)
     }
 
     /// The first division of a service, neighbours in one zone.
@@ -223,7 +218,9 @@
                 let mine = kept.iter().filter(|h| h.worker == full.worker.id);
                 let pieces = mine.filter_map(|h| self.piece(h, amount));
                 let Some((piece, weight)) = pieces.max_by(|a, b| a.1.total_cmp(&b.1)) else {
-                    break;
+                    // One key cannot be divided; others may still have too much.
+                    candidates.pop();
+                    continue;
                 };
                 cut_away(&mut kept, &piece);
                 out.push(piece);
@@ -237,32 +234,23 @@
 
     /// A piece at an end of a holding that weighs at most about the amount.
     fn piece(&self, h: &Holding, amount: f64) -> Option<(Holding, f64)> {
-        let first = h.from / c::KEY_BUCKET;
-        let last = h.to / c::KEY_BUCKET;
-        let bounds = |b: u32| {
-            (
-                (b * c::KEY_BUCKET).max(h.from),
-                (b * c::KEY_BUCKET + c::KEY_BUCKET - 1).min(h.to),
-            )
-        };
-        let walk = |buckets: &mut dyn Iterator<Item = u32>| {
+        let walk = |keys: &mut dyn Iterator<Item = u32>| {
             let (mut sum, mut end) = (0.0, None);
-            for b in buckets {
-                let (from, to) = bounds(b);
-                let weight = self.loads.weight(&h.service, from, to);
+            for key in keys {
+                let weight = self.loads.weight(&h.service, key, key);
                 if sum + weight > amount * 1.2 {
                     break;
                 }
                 sum += weight;
-                end = Some(b);
+                end = Some(key);
                 if sum >= amount {
                     break;
                 }
             }
-            end.map(|b| (b, sum))
+            end.map(|key| (key, sum))
         };
-        let up = walk(&mut (first..=last));
-        let down = walk(&mut (first..=last).rev());
+        let up = walk(&mut (h.from..=h.to));
+        let down = walk(&mut (h.from..=h.to).rev());
         let piece = |from, to| Holding {
             from,
             to,
@@ -270,8 +258,8 @@
             ..h.clone()
         };
         match (up, down) {
-            (Some((b, u)), d) if d.is_none_or(|(_, d)| u >= d) => Some((piece(h.from, bounds(b).1), u)),
-            (_, Some((b, d))) => Some((piece(bounds(b).0, h.to), d)),
+            (Some((b, u)), d) if d.is_none_or(|(_, d)| u >= d) => Some((piece(h.from, b), u)),
+            (_, Some((b, d))) => Some((piece(b, h.to), d)),
             _ => None,
         }
     }
--- a/crates/wardrobe/src/tests.rs
+++ b/crates/wardrobe/src/tests.rs
@@ -204,10 +204,13 @@
 fn a_busy_key_is_set_apart_and_a_grant_under_way_delays_the_release() {
     let mut p = Play::new(4);
     p.run(1000, "");
-    let hot = 5000 / c::KEY_BUCKET;
+    let hot = 5000;
     for _ in 0..8 {
-        let buckets: Vec<u32> = (0..KEYS / c::KEY_BUCKET).collect();
-        let counts = buckets.iter().map(|b| if *b == hot { 6000 } else { 1 }).collect();
+        let buckets: Vec<u32> = (0..KEYS).collect();
+        let counts = buckets
+            .iter()
+            .map(|b| if *b == hot { 96_000 } else { 1 })
+            .collect();
         p.wardrobe.take_loads(
             &[KeyCounts {
                 service: short("s"),
