--- a/crates/playbill/src/stage.rs
+++ b/crates/playbill/src/stage.rs
@@ -47,7 +47,7 @@
     pub returned: BTreeMap<String, u64>,
     pub workers: Arc<BTreeMap<String, Arc<Worker>>>,
     /// Holdings by service, ordered by their first key.
-    pub holdings: BTreeMap<String, Arc<BTreeMap<u32, Holding>>>,
+    pub holdings: BTreeMap<String, Arc<BTreeMap<u32, Arc<Holding>>>>,
     /// Workers that fail or lag behind their fellows.
     pub benched: Arc<BTreeSet<String>>,
     pub fractions: Arc<Vec<Fraction>>,
@@ -196,39 +196,35 @@
     /// Puts a range, cutting away what it covers of older ranges.
     fn put_holding(&mut self, new: Holding) {
         let table = Arc::make_mut(self.holdings.entry(new.service.clone()).or_default());
-        let touched: Vec<Holding> = table
-            .values()
-            .filter(|h| h.from <= new.to && h.to >= new.from)
-            .cloned()
+        let first = table
+            .range(..=new.from)
+            .next_back()
+            .map_or(new.from, |(from, _)| *from);
+        let touched: Vec<Arc<Holding>> = table
+            .range(first..=new.to)
+            .map(|(_, h)| h.clone())
+            .filter(|h| h.to >= new.from)
             .collect();
         for old in touched {
             table.remove(&old.from);
-            if old.from < new.from {
-                table.insert(
-                    old.from,
-                    Holding {
-                        to: new.from - 1,
-                        ..old.clone()
-                    },
-                );
-            }
-            if old.to > new.to {
-                table.insert(
-                    new.to + 1,
-                    Holding {
-                        from: new.to + 1,
-                        ..old
-                    },
-                );
-            }
+            let kept = |from, to| {
+                let rest = Holding {
+                    from,
+                    to,
+                    ..(*old).clone()
+                };
+                (from, Arc::new(rest))
+            };
+            table.extend((old.from < new.from).then(|| kept(old.from, new.from - 1)));
+            table.extend((old.to > new.to).then(|| kept(new.to + 1, old.to)));
         }
-        table.insert(new.from, new);
+        table.insert(new.from, Arc::new(new));
     }
 
     /// The range of a service that covers a key.
     pub fn holding(&self, service: &str, key: u32) -> Option<&Holding> {
         let (_, h) = self.holdings.get(service)?.range(..=key).next_back()?;
-        (h.to >= key).then_some(h)
+        (h.to >= key).then_some(&**h)
     }
 
     /// The highest fence ever given.
@@ -255,7 +251,11 @@
                 .flat_map(|(z, n)| vec![z.clone(); *n as usize])
                 .collect(),
             workers: self.workers.values().map(|w| (**w).clone()).collect(),
-            holdings: self.holdings.values().flat_map(|t| t.values().cloned()).collect(),
+            holdings: self
+                .holdings
+                .values()
+                .flat_map(|t| t.values().map(|h| (**h).clone()))
+                .collect(),
             fractions: self.fractions.to_vec(),
             allowances: self.allowances.iter().copied().collect(),
             slack: self.slack,
@@ -337,7 +337,7 @@
         };
         for h in image.holdings {
             let table = stage.holdings.entry(h.service.clone()).or_default();
-            Arc::make_mut(table).insert(h.from, h);
+            Arc::make_mut(table).insert(h.from, Arc::new(h));
         }
         Some(stage)
     }
--- a/crates/wardrobe/src/lib.rs
+++ b/crates/wardrobe/src/lib.rs
@@ -13,6 +13,7 @@
 use playbill::letters::{Capacity, Holding, KeyCounts};
 use playbill::Stage;
 use std::collections::{BTreeMap, HashSet};
+use std::sync::Arc;
 
 /// A call to a worker that gives it keys, or gives them again.
 #[derive(Clone, Debug, PartialEq)]
@@ -191,7 +192,7 @@
         };
         self.note_cold(now, stage);
         self.counted |= self.loads.close(now);
-        let holdings: Vec<Holding> = stage
+        let holdings: Vec<Arc<Holding>> = stage
             .holdings
             .values()
             .flat_map(|t| t.values().cloned())
@@ -232,7 +233,7 @@
                     puts.push(Holding {
                         worker: String::new(),
                         leaving: false,
-                        ..h.clone()
+                        ..(**h).clone()
                     });
                 }
                 continue;
@@ -249,14 +250,14 @@
                 if !h.leaving {
                     puts.push(Holding {
                         leaving: true,
-                        ..h.clone()
+                        ..(**h).clone()
                     });
                 } else if track.freed.is_some() || range_end.max(track.extended_end) <= now {
                     puts.push(Holding {
                         worker: String::new(),
                         leaving: false,
                         handover: track.freed.clone().unwrap_or_default(),
-                        ..h.clone()
+                        ..(**h).clone()
                     });
                 } else if hold.settled <= now
                     && !flying
@@ -273,14 +274,14 @@
                         track.sent = (h.from, h.to);
                         acts.push(Act::Grant(GrantCall {
                             address: worker.address.clone(),
-                            holding: h.clone(),
+                            holding: (**h).clone(),
                             hold_ms: long_ms,
                         }));
                         continue;
                     }
                     let call = ReleaseCall {
                         address: worker.address.clone(),
-                        holding: h.clone(),
+                        holding: (**h).clone(),
                     };
                     acts.push(Act::Release(call));
                 }
@@ -290,13 +291,13 @@
                 puts.push(Holding {
                     fence: plan::NEW_FENCE,
                     handover: String::new(),
-                    ..h.clone()
+                    ..(**h).clone()
                 });
                 continue;
             }
             let call = GrantCall {
                 address: worker.address.clone(),
-                holding: h.clone(),
+                holding: (**h).clone(),
                 hold_ms: self.hold_ms,
             };
             grants.push((track.next_at, call));
--- a/crates/wardrobe/src/plan.rs
+++ b/crates/wardrobe/src/plan.rs
@@ -199,7 +199,8 @@
             let mean = candidates.iter().map(|x| x.load).sum::<f64>()
                 / candidates.iter().map(|x| x.strength).sum::<f64>();
             // What the workers keep once the pieces planned so far are gone.
-            let mut kept: Vec<Holding> = table.values().filter(|h| !h.leaving).cloned().collect();
+            let whole = table.values().filter(|h| !h.leaving);
+            let mut kept: Vec<Holding> = whole.map(|h| (**h).clone()).collect();
             let under_way = table.len() - kept.len();
             let most = c::MOVES.max(candidates.len() / c::MOVES_PART);
             let moves = out.len() + most.saturating_sub(under_way);
--- a/crates/wardrobe/src/tests.rs
+++ b/crates/wardrobe/src/tests.rs
@@ -121,7 +121,7 @@
     p.run(1000, "");
     p.check_cover();
     assert_eq!(p.held_by("w1"), 0);
-    let moved: Vec<&Holding> = p.stage.holdings["s"].values().filter(|h| h.fence > top).collect();
+    let moved: Vec<_> = p.stage.holdings["s"].values().filter(|h| h.fence > top).collect();
     assert!(moved.len() > 1 && moved.iter().all(|h| h.handover == "token"));
 }
 
