--- a/crates/prompter/src/machine/relay.rs
+++ b/crates/prompter/src/machine/relay.rs
@@ -200,9 +200,97 @@
             term: self.term,
             index,
             log_term: self.term_at(index).unwrap_or(0),
-            commit: self.commit,
+            // What the leader has said is committed, though this node may not have
+            // it yet: else whoever follows would be current too soon.
+            commit: self.commit.max(self.told_commit),
             leader: self.leader,
             ..Default::default()
         }
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use crate::machine::{Saved, Timing};
+
+    const TIMING: Timing = Timing {
+        heartbeat: 100,
+        observer_heartbeat: 400,
+        election_min: 450,
+        election_spread: 300,
+        lease: 260,
+        resend: 400,
+        snapshot_resend: 1000,
+        follower_gone: 3000,
+        append_bytes: 1 << 20,
+        tail_bytes: 1 << 14,
+    };
+
+    fn append(index: u64, log_term: u64, commit: u64, entries: Vec<Entry>) -> Cue {
+        Cue {
+            kind: CueKind::Append as i32,
+            term: 4,
+            index,
+            log_term,
+            commit,
+            entries,
+            ..Default::default()
+        }
+    }
+
+    /// A voter is back from its disk and hears at once that more is committed
+    /// than it has. A node that follows it is current only once it has that too.
+    #[test]
+    fn who_follows_a_voter_that_lags_is_not_current_before_it_has_what_is_committed() {
+        let voter = |id| Voter {
+            id,
+            ..Default::default()
+        };
+        let saved = Saved {
+            term: 4,
+            snapshot: Snapshot {
+                index: 5,
+                term: 4,
+                roll: Some(Roll {
+                    voters: vec![voter(1), voter(2)],
+                }),
+                data: vec![],
+            },
+            ..Default::default()
+        };
+        let mut relay = Prompter::new(2, saved, TIMING, 0, 1);
+        let mut node = Prompter::new(9, Saved::default(), TIMING, 0, 1);
+        relay.tick(10);
+        relay.receive(10, 1, append(7, 4, 7, vec![]));
+        node.follow(10, 2);
+        let pass = |from: &mut Prompter, to: &mut Prompter, me: u64, other: u64| {
+            let effects = from.take_effects();
+            for (_, cue) in effects
+                .now
+                .into_iter()
+                .chain(effects.after)
+                .filter(|(id, _)| *id == other)
+            {
+                to.receive(20, me, cue);
+            }
+        };
+        for _ in 0..4 {
+            pass(&mut node, &mut relay, 9, 2);
+            pass(&mut relay, &mut node, 2, 9);
+        }
+        assert_eq!((node.commit(), node.is_current()), (5, false));
+        let entry = |index| Entry {
+            index,
+            term: 4,
+            kind: EntryKind::Change as i32,
+            data: vec![1],
+        };
+        relay.receive(30, 1, append(5, 4, 7, vec![entry(6), entry(7)]));
+        for _ in 0..4 {
+            pass(&mut relay, &mut node, 2, 9);
+            pass(&mut node, &mut relay, 9, 2);
+        }
+        assert_eq!((node.commit(), node.is_current()), (7, true));
+    }
+}
