--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -208,6 +208,11 @@
 /// Weight of the newest sum in the load of keys: a few seconds of traffic tell
 /// the busy ranges from luck.
 pub const KEY_SMOOTHING: f64 = 0.15;
+/// Time over which the smoothed load of keys sums up, s.
+pub const KEY_SEEN_S: f64 = 6.0;
+/// By how many standard deviations of its count a worker must be above the mean
+/// to count as full.
+pub const KEY_LUCK: f64 = 1.5;
 /// Weight of the newest sum for keys that have all at once become much busier.
 pub const KEY_ONSET: f32 = 0.6;
 /// How many times its usual load a key must show for that, and how many requests.
--- a/crates/playhouse/src/conductor/mod.rs
+++ b/crates/playhouse/src/conductor/mod.rs
@@ -282,7 +282,11 @@
         let room = c::LOG_KEEP_BYTES.max(self.prompter.snapshot_bytes());
         let long = self.prompter.log_len() > c::LOG_KEEP || self.prompter.log_bytes() > room;
         if long {
-            self.prompter.compact(self.stage.to_snapshot());
+            // Only voters pass the state on; for all others its image would cost
+            // memory and time for nobody.
+            let voter = self.vault.is_some();
+            let image = voter.then(|| self.stage.to_snapshot());
+            self.prompter.compact(image.unwrap_or_default());
         }
         self.publish();
     }
--- a/crates/wardrobe/src/loads.rs
+++ b/crates/wardrobe/src/loads.rs
@@ -79,6 +79,11 @@
         true
     }
 
+    /// Requests a second of a service, as far as they are known.
+    pub fn rate(&self, service: &str) -> f64 {
+        self.services.get(&short(service)).map_or(0.0, |l| l.total)
+    }
+
     /// Whether enough was counted to go by.
     pub fn known(&self, service: &str) -> bool {
         self.services
--- a/crates/wardrobe/src/plan.rs
+++ b/crates/wardrobe/src/plan.rs
@@ -198,6 +198,9 @@
             }
             let mean = candidates.iter().map(|x| x.load).sum::<f64>()
                 / candidates.iter().map(|x| x.strength).sum::<f64>();
+            // The fewer requests a worker gets, the more its count is luck.
+            let seen = self.loads.rate(service) / candidates.len() as f64 * c::KEY_SEEN_S;
+            let above = c::FULL.max(1.0 + c::KEY_LUCK / seen.max(1.0).sqrt());
             // What the workers keep once the pieces planned so far are gone.
             let whole = table.values().filter(|h| !h.leaving);
             let mut kept: Vec<Holding> = whole.map(|h| (**h).clone()).collect();
@@ -209,7 +212,7 @@
                 let (Some(lean), Some(full)) = (candidates.first(), candidates.last()) else {
                     break;
                 };
-                let hot = self.loads.known(service) && full.fill() > mean * c::FULL;
+                let hot = self.loads.known(service) && full.fill() > mean * above;
                 if !hot && lean.fill() >= mean * c::LEAN || full.fill() <= mean {
                     break;
                 }
