--- a/crates/callboard/src/board.rs
+++ b/crates/callboard/src/board.rs
@@ -234,15 +234,18 @@
             )
             .filter(|a| !self.others.get(a).is_some_and(|e| e.member.is_alive()))
             .collect();
-        // Without a disk one is enough: there may be hundreds of such nodes, and
-        // all of them start together.
-        let to: Vec<String> = if alone && self.me.disk {
-            lost
-        } else {
-            lost.choose(&mut self.rng).cloned().into_iter().collect()
-        };
-        for to in to {
-            self.send(to, NoticeKind::Join, 0, String::new());
+        let mut to = lost;
+        to.shuffle(&mut self.rng);
+        to.truncate(if alone { to.len() } else { 1 });
+        for (i, to) in to.into_iter().enumerate() {
+            // A table from one is enough: there may be hundreds that start together,
+            // over narrow links.
+            let kind = if i == 0 || self.me.disk {
+                NoticeKind::Join
+            } else {
+                NoticeKind::Meet
+            };
+            self.send(to, kind, 0, String::new());
         }
     }
 
--- a/crates/callboard/src/tests.rs
+++ b/crates/callboard/src/tests.rs
@@ -170,7 +170,10 @@
         net.boards.values().map(|b| 79 - knows(b)).sum()
     };
     assert_eq!(lacking(&net), 0);
-    // And nobody talks more than it must once all is known.
+    // And nobody talks more than it must once all is known; a lost datagram would
+    // be news of a suspicion.
+    net.loss = 0.0;
+    net.run(3000);
     let before: usize = net.boards.values_mut().map(|b| b.take_out().len()).sum();
     assert_eq!(before, 0);
     net.run(1000);
--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -89,6 +89,9 @@
 /// above a far round trip, and below the second after which the kernel would
 /// ask a machine again that was dark at first.
 pub const PEER_CONNECT_MS: u64 = 250;
+/// Tries after which the wait for a connection to another node doubles, tries:
+/// longer than a restart.
+pub const PEER_CONNECT_TRIES: u32 = 4;
 /// Unacknowledged bytes on any connection end it after this time, ms: a dead
 /// machine says nothing.
 pub const TCP_USER_TIMEOUT_MS: u32 = 1200;
--- a/crates/playhouse/src/post.rs
+++ b/crates/playhouse/src/post.rs
@@ -137,14 +137,9 @@
 
 async fn speak_to(to: String, mut queue: mpsc::Receiver<Vec<u8>>, house: Rc<House>) {
     let mut stream: Option<TcpStream> = None;
-    // A voter's word to another is needed soon, and tried anew at once. Others may
-    // stand behind a narrow link that is full: they must not give up for ever.
-    let most = if house.may_lead() {
-        c::PEER_CONNECT_MS
-    } else {
-        c::CONNECT_MS
-    };
-    let mut wait = c::PEER_CONNECT_MS;
+    // A dark peer is dialled anew at once, so that it is met when it is back. After
+    // some tries it may be the own link that is full: then a longer wait is needed.
+    let mut failures = 0;
     while let Some(mut frame) = queue.recv().await {
         // What has queued up goes out in one write.
         while let Ok(more) = queue.try_recv() {
@@ -154,13 +149,16 @@
             stream = None;
         }
         if stream.is_none() {
+            let tries = c::PEER_CONNECT_TRIES;
+            let wait = c::PEER_CONNECT_MS << (failures / tries).min(2);
             match sockets::connect(&to, wait).await {
                 Ok(s) => {
                     stream = Some(s);
-                    wait = c::PEER_CONNECT_MS;
+                    failures = 0;
                 }
                 Err(_) => {
-                    wait = (wait * 2).min(most);
+                    // Voters are waited for by elections.
+                    failures = if house.may_lead() { 0 } else { failures + 1 };
                     house.counters.add("peer_connects_failed");
                     actix_rt::time::sleep(Duration::from_millis(c::RECONNECT_MS)).await;
                     while queue.try_recv().is_ok() {}
