A new life at an old address passes over what was meant for the old one

Cause: a node without a disk that came back was fed by its voter under the old identity for 3 s more; it said no to each, and for each no the voter sent the whole state again over a link of 2 Mbit/s.

--- a/crates/prompter/src/cue.rs
+++ b/crates/prompter/src/cue.rs
@@ -114,4 +114,8 @@
     /// In what a voter passes on: who leads.
     #[prost(fixed64, tag = "11")]
     pub leader: u64,
+    /// The identity that it is meant for: a node that is back at the same address
+    /// without a disk, or with an empty one, is somebody else.
+    #[prost(fixed64, tag = "12")]
+    pub to: u64,
 }
--- a/crates/prompter/src/machine.rs
+++ b/crates/prompter/src/machine.rs
@@ -279,7 +279,11 @@
             );
             self.handed = to;
         }
-        std::mem::take(&mut self.out)
+        let mut out = std::mem::take(&mut self.out);
+        for (to, cue) in out.now.iter_mut().chain(&mut out.after) {
+            cue.to = *to;
+        }
+        out
     }
 
     /// Word that everything up to an entry is on disk.
@@ -631,6 +635,9 @@
         let Ok(kind) = CueKind::try_from(cue.kind) else {
             return;
         };
+        if cue.to != 0 && cue.to != self.id {
+            return;
+        }
         match kind {
             CueKind::AskPreVote | CueKind::AskVote => return self.on_ask(from, kind, cue),
             CueKind::PreVote => {
--- a/crates/prompter/src/machine/relay.rs
+++ b/crates/prompter/src/machine/relay.rs
@@ -90,9 +90,16 @@
         };
         f.heard_at = now;
         f.applied = cue.applied;
-        f.snapshot_at = None;
-        f.matched = cue.index;
-        if !cue.yes {
+        // While a snapshot is on its way a no to something else is no news: sent
+        // again for each, snapshots would fill a narrow link.
+        let waits = f
+            .snapshot_at
+            .is_some_and(|at| now.saturating_sub(at) < self.timing.snapshot_resend);
+        if cue.yes || !waits {
+            f.snapshot_at = None;
+            f.matched = cue.index;
+        }
+        if !cue.yes && !waits {
             f.next = cue.index + 1;
         }
         let behind = f.next <= commit;
@@ -239,6 +246,74 @@
         }
     }
 
+    /// A node is back at its address as somebody new, and its voter still feeds the
+    /// old life. Its words to that life are passed over, and while the state is on
+    /// its way it is not sent again for every no.
+    #[test]
+    fn a_new_life_is_sent_the_state_once_whatever_the_old_one_is_sent() {
+        let snapshot = Snapshot {
+            index: 5,
+            term: 4,
+            roll: Some(Roll {
+                voters: vec![
+                    Voter {
+                        id: 2,
+                        ..Default::default()
+                    },
+                    Voter {
+                        id: 1,
+                        ..Default::default()
+                    },
+                ],
+            }),
+            data: vec![],
+        };
+        let saved = Saved {
+            term: 4,
+            snapshot,
+            ..Default::default()
+        };
+        let mut relay = Prompter::new(2, saved, TIMING, 0, 1);
+        relay.tick(10);
+        relay.receive(10, 1, append(5, 4, 5, vec![]));
+        relay.take_effects();
+        let follow = |index| Cue {
+            kind: CueKind::Follow as i32,
+            term: 4,
+            index,
+            ..Default::default()
+        };
+        relay.receive(20, 8, follow(5));
+        relay.receive(20, 9, follow(0));
+        let mut node = Prompter::new(9, Saved::default(), TIMING, 0, 1);
+        node.follow(20, 2);
+        let mut installs = 0;
+        for (to, cue) in relay.take_effects().now {
+            installs += usize::from(cue.kind() == CueKind::Install);
+            // Both lives have one address.
+            if to == 8 {
+                node.receive(30, 2, cue);
+            }
+        }
+        let answers = node.take_effects();
+        let said = |(_, cue): &(u64, Cue)| cue.kind() == CueKind::Appended;
+        assert!(
+            !answers.now.iter().chain(&answers.after).any(said),
+            "not meant for it"
+        );
+        for _ in 0..5 {
+            let no = Cue {
+                kind: CueKind::Appended as i32,
+                term: 4,
+                ..Default::default()
+            };
+            relay.receive(40, 9, no);
+            let now = relay.take_effects().now;
+            installs += now.iter().filter(|(_, c)| c.kind() == CueKind::Install).count();
+        }
+        assert_eq!(installs, 1);
+    }
+
     /// A voter is back from its disk and hears at once that more is committed
     /// than it has. A node that follows it is current only once it has that too.
     #[test]
