--- a/crates/prompter/src/machine.rs
+++ b/crates/prompter/src/machine.rs
@@ -447,9 +447,6 @@
         // its own, and it looks again once it has heard them.
         let stood_still = now.saturating_sub(self.ticked_at) > self.timing.election_min * 2 / 3;
         self.ticked_at = now;
-        if stood_still {
-            self.deadline = self.deadline.max(now + self.timing.heartbeat);
-        }
         match self.role {
             Role::Leader => {
                 if !stood_still && !self.heard_by_majority(self.timing.election_min) {
