--- a/crates/prompter/src/machine/relay.rs
+++ b/crates/prompter/src/machine/relay.rs
@@ -92,14 +92,14 @@
         f.applied = cue.applied;
         // While a snapshot is on its way a no to something else is no news: sent
         // again for each, snapshots would fill a narrow link.
-        let waits = f
-            .snapshot_at
-            .is_some_and(|at| now.saturating_sub(at) < self.timing.snapshot_resend);
+        let waits = f.awaits_snapshot(now, self.timing.snapshot_resend);
         if cue.yes || !waits {
             f.snapshot_at = None;
             f.matched = cue.index;
         }
-        if !cue.yes && !waits {
+        if cue.yes {
+            f.next = f.next.max(f.matched + 1);
+        } else if !waits {
             f.next = cue.index + 1;
         }
         let behind = f.next <= commit;
@@ -169,14 +169,12 @@
         let Some(f) = self.followers.get_mut(&to) else {
             return;
         };
-        if f.next > f.matched + 1 && now.saturating_sub(f.sent_at) >= self.timing.resend {
+        let waits = f.awaits_snapshot(now, self.timing.snapshot_resend);
+        if !waits && f.next > f.matched + 1 && now.saturating_sub(f.sent_at) >= self.timing.resend {
             f.next = f.matched + 1;
         }
         if f.next <= self.base.0 {
-            let due = f
-                .snapshot_at
-                .is_none_or(|at| now.saturating_sub(at) >= self.timing.snapshot_resend);
-            if due {
+            if !waits {
                 f.snapshot_at = Some(now);
                 f.sent_at = now;
                 // What comes after the snapshot may follow at once.
@@ -312,6 +310,33 @@
             installs += now.iter().filter(|(_, c)| c.kind() == CueKind::Install).count();
         }
         assert_eq!(installs, 1);
+        // Nor while it takes its time over a narrow link, nor once it is there.
+        relay.tick(600);
+        relay.receive(600, 1, append(5, 4, 5, vec![]));
+        let entry = Entry {
+            index: 6,
+            term: 4,
+            kind: EntryKind::Change as i32,
+            data: vec![1],
+        };
+        let yes = Cue {
+            kind: CueKind::Appended as i32,
+            term: 4,
+            index: 5,
+            yes: true,
+            ..Default::default()
+        };
+        relay.receive(700, 9, yes);
+        relay.receive(700, 1, append(5, 4, 6, vec![entry]));
+        let now = relay.take_effects().now;
+        let to_it = |(to, _): &&(u64, Cue)| *to == 9;
+        let sent: Vec<_> = now
+            .iter()
+            .filter(to_it)
+            .map(|(_, c)| (c.kind(), c.entries.len()))
+            .collect();
+        assert!(sent.iter().all(|(kind, _)| *kind == CueKind::Append), "{sent:?}");
+        assert!(sent.contains(&(CueKind::Append, 1)), "{sent:?}");
     }
 
     /// A voter is back from its disk and hears at once that more is committed
--- a/crates/prompter/src/progress.rs
+++ b/crates/prompter/src/progress.rs
@@ -14,3 +14,10 @@
     pub sent_at: u64,
     pub snapshot_at: Option<u64>,
 }
+
+impl Progress {
+    /// Whether a snapshot was sent to the node and may still be on its way.
+    pub fn awaits_snapshot(&self, now: u64, resend: u64) -> bool {
+        self.snapshot_at.is_some_and(|at| now.saturating_sub(at) < resend)
+    }
+}
