--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -13,6 +13,10 @@
 //! slow a 500 | stuck a | well a                            disks
 //! drain w1 | gone w1 | dark w1 | mute w1 | worker w9
 //! expect leader | no-leader | answer NAME OUTCOME | version N [NODE...] | current NODE...
+//! crowd 291                  machines without a disk, over regions r1 to r3
+//! region power r2 | region start all | roll 30             many machines; one after the other
+//! measure                    counts the bytes of the agreement from now on
+//! expect all-current | voter-bytes N | node-bytes N        at the most, a second
 //! expect voters N | not-voter ADDRESS | holds w1 yes|no | another-leader | leaving w1
 //! ```
 
@@ -126,6 +130,34 @@
                     self.world.cuts.insert((b, a));
                 }
             }
+            "crowd" => {
+                for i in 0..number(rest.first())? {
+                    let region = format!("r{}", i % 3 + 1);
+                    self.world.add(&format!("o{i}"), &region, false, true);
+                }
+            }
+            "region" => {
+                let of = |n: &&crate::node::Node| rest[1] == "all" || n.region == rest[1];
+                let names: Vec<String> = self
+                    .world
+                    .nodes
+                    .values()
+                    .filter(of)
+                    .map(|n| n.name.clone())
+                    .collect();
+                for name in names {
+                    self.machine(rest[0], &name, rest)?;
+                }
+            }
+            "roll" => {
+                for i in 0..number(rest.first())? {
+                    let name = format!("o{i}");
+                    self.world.end(&name, false);
+                    self.world.run(100);
+                    self.world.start(&name);
+                }
+            }
+            "measure" => self.world.measure(),
             "mend" => self.world.cuts.clear(),
             "drain" | "gone" | "dark" | "mute" => self.worker(words[0], rest[0])?,
             "expect" => self.expect(rest)?,
@@ -222,6 +254,18 @@
                 };
                 world.nodes.values().filter_map(|n| n.life.as_ref()).all(knows)
             }
+            "voter-bytes" | "node-bytes" => {
+                let most = world.busiest(words[0] == "voter-bytes");
+                let bound = number(words.get(1))?;
+                if most > bound {
+                    return Err(format!("{most} bytes a second"));
+                }
+                most > 0
+            }
+            "all-current" => world
+                .nodes
+                .values()
+                .all(|n| n.life.as_ref().is_some_and(|l| l.current)),
             "acked-stands" => {
                 let leader = world
                     .leader()
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -66,6 +66,9 @@
     applied: BTreeMap<(String, u64), u64>,
     digests: BTreeMap<u64, Vec<u64>>,
     leaders: BTreeMap<u64, u64>,
+    /// Bytes of the agreement that each node has sent since a moment.
+    sent: BTreeMap<String, usize>,
+    measured_since: u64,
 }
 
 impl World {
@@ -83,9 +86,29 @@
             applied: BTreeMap::new(),
             digests: BTreeMap::new(),
             leaders: BTreeMap::new(),
+            sent: BTreeMap::new(),
+            measured_since: 0,
         }
     }
 
+    /// Counts bytes from now on.
+    pub fn measure(&mut self) {
+        self.sent.clear();
+        self.measured_since = self.now;
+    }
+
+    /// Bytes a second that the busiest node with a disk, or without one, has sent.
+    pub fn busiest(&self, disk: bool) -> u64 {
+        let kind = |name: &String| self.nodes.get(name).is_some_and(|n| n.disk.is_some() == disk);
+        let most = self
+            .sent
+            .iter()
+            .filter(|(name, _)| kind(name))
+            .map(|(_, b)| *b)
+            .max();
+        most.unwrap_or(0) as u64 * 1000 / (self.now - self.measured_since).max(1)
+    }
+
     pub fn add(&mut self, name: &str, region: &str, disk: bool, fresh: bool) {
         let node = Node {
             name: name.into(),
@@ -201,6 +224,8 @@
         if self.cuts.contains(&(from.to_string(), name.clone())) {
             return;
         }
+        let count = self.sent.entry(from.to_string()).or_default();
+        *count += prost::Message::encoded_len(&cue);
         let at = self.now + self.latency(from, &name);
         self.flights.push((
             at,
--- a/crates/rehearsal/tests/scenarios.rs
+++ b/crates/rehearsal/tests/scenarios.rs
@@ -2,21 +2,31 @@
 
 use std::path::Path;
 
-#[test]
-fn every_scenario() {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("scenarios");
+fn play_all(folder: &str, least: usize, seeds: u64) {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join(folder);
     let mut files: Vec<_> = std::fs::read_dir(folder)
         .expect("the folder is there")
         .flatten()
         .map(|e| e.path())
         .collect();
     files.sort();
-    assert!(files.len() > 10, "scenarios are missing");
+    assert!(files.len() >= least, "scenarios are missing");
     for file in files {
         let text = std::fs::read_to_string(&file).expect("readable");
-        for seed in 1..=6 {
+        for seed in 1..=seeds {
             println!("{} seed {seed}", file.display());
             rehearsal::script::play(&text, seed);
         }
     }
 }
+
+#[test]
+fn every_scenario() {
+    play_all("scenarios", 11, 6);
+}
+
+/// The control side of three hundred nodes.
+#[test]
+fn every_crowd() {
+    play_all("crowds", 1, 1);
+}
