--- a/crates/callboard/src/board.rs
+++ b/crates/callboard/src/board.rs
@@ -143,14 +143,10 @@
             // News of oneself matters at once: a node that leaves is to be
             // left out of answers before it ends.
             let targets: Vec<String> = self.alive().map(|m| m.address.clone()).collect();
-            for to in targets.choose_multiple(&mut self.rng, self.timing.helpers) {
-                let members = vec![self.me.clone()];
-                let notice = Notice {
-                    kind: NoticeKind::News as i32,
-                    members,
-                    ..Default::default()
-                };
-                self.out.push((to.clone(), notice));
+            let chosen = targets.choose_multiple(&mut self.rng, self.timing.helpers);
+            let chosen: Vec<String> = chosen.cloned().collect();
+            for to in chosen {
+                self.introduce(&to);
             }
         }
     }
@@ -385,6 +381,7 @@
         }
     }
 
+    /// Tells a node of this one.
     fn introduce(&mut self, to: &str) {
         let me = self.me.clone();
         self.tell(to, std::slice::from_ref(&me));
--- a/crates/prompter/src/machine.rs
+++ b/crates/prompter/src/machine.rs
@@ -985,10 +985,7 @@
             p.next = p.matched + 1;
         }
         if p.next <= self.base.0 {
-            let due = p
-                .snapshot_at
-                .is_none_or(|at| self.now.saturating_sub(at) >= self.timing.snapshot_resend);
-            if due {
+            if !p.awaits_snapshot(self.now, self.timing.snapshot_resend) {
                 p.snapshot_at = Some(self.now);
                 p.sent_at = self.now;
                 let cue = Cue {
