A cold worker is called by the nodes that the log names, with shares that add up

Causes: shares by a count of neighbours (a fresh node knows none), turns that are all due after a pause, holders of keys admitted by chance, a new leader that took a re-cooled worker for told, keys given to a zone just taken back.

--- a/crates/boxoffice/src/bench.rs
+++ b/crates/boxoffice/src/bench.rs
@@ -171,7 +171,10 @@
         let put = put.collect();
         stage.apply(
             1,
-            &encode_change(ChangeKind::Workers(WorkersChange { put, gone: vec![] })),
+            &encode_change(ChangeKind::Workers(WorkersChange {
+                put,
+                ..Default::default()
+            })),
         );
         stage
     }
--- a/crates/boxoffice/src/lib.rs
+++ b/crates/boxoffice/src/lib.rs
@@ -6,12 +6,14 @@
 //! then a second flow that removes tiny flows, with hysteresis.
 
 mod bench;
+mod casting;
 mod draw;
 mod flow;
 mod ledger;
 mod place;
 
 pub use bench::Bench;
+pub use casting::{is_nothing, Caller, Casting, Listed, Scene};
 pub use draw::draw;
 pub use flow::Network;
 pub use ledger::{differs, Ledger};
--- a/crates/playbill/src/config.rs
+++ b/crates/playbill/src/config.rs
@@ -1,5 +1,6 @@
 //! The operator's configuration: what it says, and when it is invalid.
 
+use crate::settings::Bounds;
 use crate::span::Span;
 use serde::Deserialize;
 use std::collections::{BTreeMap, BTreeSet};
@@ -47,6 +48,13 @@
     pub partitioned: bool,
 }
 
+/// Requests that a cold worker of a service may get in any one second.
+pub fn cold_bound(service: Option<&Service>, bounds: &Bounds) -> usize {
+    let rate = service.map_or(0.0, |s| s.cold_rate);
+    let bound = rate * bounds.cold_excess + bounds.cold_slack;
+    bound.clamp(0.0, 1e6).floor() as usize
+}
+
 #[derive(Clone, Copy, Debug)]
 pub struct ClientLimits {
     pub header_bytes: usize,
--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -311,9 +311,12 @@
 /// How long a worker of a returned zone is taken for cold unless the
 /// configuration gives a longer time, ms.
 pub const RETURN_COLD_MS: u64 = 3000;
-/// How long a node remembers the requests it sent to a worker, ms: long enough
-/// that the share of one of hundreds of nodes tells the busy from the others.
-pub const RECENT_MS: f64 = 20_000.0;
+/// Time in which a node gives a cold worker no more than its shares, ms: a second,
+/// and the wait for a connection, so that what was sent later than it was decided
+/// counts as well.
+pub const COLD_WINDOW_MS: u64 = 1000 + WORKER_CONNECT_MS + 2 * FAR_MS as u64;
+/// Most shares of a cold worker that one node uses, requests in that time.
+pub const COLD_REMEMBERED: usize = 64;
 /// A bound added to what the list says of a cold worker, ms: its lag.
 pub const COLD_MARGIN_MS: u64 = 300;
 /// A request is refused at once if a worker is expected to take more than this
--- a/crates/playbill/src/letters.rs
+++ b/crates/playbill/src/letters.rs
@@ -307,6 +307,23 @@
     /// The index of the log at which `cold_ms` was told.
     #[prost(uint64, tag = "8")]
     pub cold_at: u64,
+    /// The index that the log stood at before the list was read that told so.
+    #[prost(uint64, tag = "9")]
+    pub as_of: u64,
+    /// Which nodes may call it while it is cold, by the number of a [`Cast`]; 0
+    /// for none.
+    #[prost(uint32, tag = "10")]
+    pub cast: u32,
+}
+
+/// Nodes that share what a cold worker bears. What a number stands for never
+/// changes.
+#[derive(Clone, PartialEq, Message)]
+pub struct Cast {
+    #[prost(uint32, tag = "1")]
+    pub number: u32,
+    #[prost(fixed64, repeated, tag = "2")]
+    pub nodes: Vec<u64>,
 }
 
 #[derive(Clone, PartialEq, Message)]
@@ -315,6 +332,15 @@
     pub put: Vec<Worker>,
     #[prost(string, repeated, tag = "2")]
     pub gone: Vec<String>,
+    /// Casts that the workers put may name, as far as they are new.
+    #[prost(message, repeated, tag = "3")]
+    pub casts: Vec<Cast>,
+    /// Workers that are cold no longer.
+    #[prost(string, repeated, tag = "4")]
+    pub warm: Vec<String>,
+    /// The index that the log stood at before the list was read.
+    #[prost(uint64, tag = "5")]
+    pub as_of: u64,
 }
 
 /// A contiguous range of keys of a service and who holds it.
@@ -415,6 +441,8 @@
     pub amendment: Vec<u8>,
     #[prost(string, repeated, tag = "12")]
     pub benched: Vec<String>,
+    #[prost(message, repeated, tag = "14")]
+    pub casts: Vec<Cast>,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/playbill/src/stage.rs
+++ b/crates/playbill/src/stage.rs
@@ -46,6 +46,8 @@
     /// Zones taken back from an evacuation, with the index of the change.
     pub returned: BTreeMap<String, u64>,
     pub workers: Arc<BTreeMap<String, Arc<Worker>>>,
+    /// Who may call the cold workers, by the number that their rows name.
+    pub casts: Arc<BTreeMap<u32, Arc<BTreeSet<u64>>>>,
     /// Holdings by service, ordered by their first key.
     pub holdings: BTreeMap<String, Arc<BTreeMap<u32, Arc<Holding>>>>,
     /// Workers that fail or lag behind their fellows.
@@ -156,8 +158,16 @@
                 }
                 for mut worker in w.put {
                     worker.cold_at = index;
+                    worker.as_of = w.as_of;
                     workers.insert(worker.id.clone(), Arc::new(worker));
                 }
+                for id in &w.warm {
+                    if let Some(worker) = workers.get_mut(id) {
+                        let worker = Arc::make_mut(worker);
+                        (worker.cold_ms, worker.cold_at, worker.as_of) = (0, index, w.as_of);
+                    }
+                }
+                self.take_casts(w.casts);
                 Outcome::Applied
             }
             Some(ChangeKind::Keys(k)) => {
@@ -185,6 +195,36 @@
         }
     }
 
+    /// Takes new casts in, and drops those that no worker names any more.
+    fn take_casts(&mut self, new: Vec<Cast>) {
+        let named: BTreeSet<u32> = self.workers.values().map(|w| w.cast).collect();
+        if new.is_empty() && self.casts.keys().all(|n| named.contains(n)) {
+            return;
+        }
+        let casts = Arc::make_mut(&mut self.casts);
+        for cast in new {
+            let nodes = Arc::new(cast.nodes.into_iter().collect());
+            casts.entry(cast.number).or_insert(nodes);
+        }
+        casts.retain(|n, _| named.contains(n));
+    }
+
+    /// Whether the list has not been read yet since the worker's zone was taken
+    /// back from an evacuation: nobody can say that it is warm.
+    pub fn is_unread(&self, worker: &Worker) -> bool {
+        self.returned
+            .get(&worker.zone)
+            .is_some_and(|index| *index > worker.as_of)
+    }
+
+    /// The nodes that may call a worker while it is cold.
+    pub fn cast_of(&self, worker: &Worker) -> Option<&BTreeSet<u64>> {
+        if self.is_unread(worker) {
+            return None;
+        }
+        self.casts.get(&worker.cast).map(|c| &**c)
+    }
+
     /// Services that a new configuration no longer divides hold no keys.
     fn drop_unknown(&mut self) {
         if let Some(config) = &self.config {
@@ -251,6 +291,14 @@
                 .flat_map(|(z, n)| vec![z.clone(); *n as usize])
                 .collect(),
             workers: self.workers.values().map(|w| (**w).clone()).collect(),
+            casts: self
+                .casts
+                .iter()
+                .map(|(number, nodes)| Cast {
+                    number: *number,
+                    nodes: nodes.iter().copied().collect(),
+                })
+                .collect(),
             holdings: self
                 .holdings
                 .values()
@@ -329,6 +377,13 @@
                     .map(|w| (w.id.clone(), Arc::new(w)))
                     .collect(),
             ),
+            casts: Arc::new(
+                image
+                    .casts
+                    .into_iter()
+                    .map(|c| (c.number, Arc::new(c.nodes.into_iter().collect())))
+                    .collect(),
+            ),
             benched: Arc::new(image.benched.into_iter().collect()),
             holdings: BTreeMap::new(),
             fractions: Arc::new(image.fractions),
--- a/crates/playhouse/src/forwarding_tests.rs
+++ b/crates/playhouse/src/forwarding_tests.rs
@@ -175,7 +175,10 @@
         .collect();
     stage.apply(
         2,
-        &encode_change(ChangeKind::Workers(WorkersChange { put, gone: vec![] })),
+        &encode_change(ChangeKind::Workers(WorkersChange {
+            put,
+            ..Default::default()
+        })),
     );
     house.stage.set(stage);
     house.standing.set(Standing {
--- a/crates/playhouse/src/platform.rs
+++ b/crates/playhouse/src/platform.rs
@@ -4,11 +4,12 @@
 use crate::kernel::{House, Plugin};
 use crate::upstream::{simple, Upstream};
 use actix::prelude::*;
+use boxoffice::{is_nothing, Caller, Casting, Scene};
 use playbill::constants as c;
-use playbill::letters::{ChangeKind, Worker, WorkersChange};
+use playbill::letters::{ChangeKind, Worker};
 use playbill::span::Span;
 use serde::Deserialize;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,7 +24,8 @@
         let mut agent = Agent {
             house,
             upstream: Upstream::new(),
-            cold: HashMap::new(),
+            casting: Casting::default(),
+            since: None,
         };
         loop {
             let pause = agent.round().await;
@@ -53,6 +55,21 @@
     cold_left: Span,
 }
 
+impl Listed {
+    fn into_row(self, id: String) -> Worker {
+        Worker {
+            id,
+            draining: self.state != "ready",
+            service: self.service,
+            address: self.address,
+            zone: self.zone,
+            slots: self.capacity_slots,
+            cold_ms: self.cold_left.0,
+            ..Default::default()
+        }
+    }
+}
+
 fn one() -> u32 {
     1
 }
@@ -60,8 +77,9 @@
 struct Agent {
     house: Rc<House>,
     upstream: Rc<Upstream>,
-    /// When each worker that was told to be cold is warm again.
-    cold: HashMap<String, u64>,
+    casting: Casting,
+    /// Since when this node leads, as far as the list goes.
+    since: Option<u64>,
 }
 
 impl Agent {
@@ -71,14 +89,31 @@
         let Some(conductor) = self.house.get::<Addr<Conductor>>() else {
             return IDLE_MS;
         };
-        if !self.house.standing.get().is_leader || !matches!(conductor.send(Lease).await, Ok(Some(_))) {
+        if !self.house.standing.get().is_leader {
             return IDLE_MS;
         }
+        let Ok(Some(since)) = conductor.send(Lease).await else {
+            return IDLE_MS;
+        };
+        if self.since != Some(since) {
+            self.since = Some(since);
+            self.casting.begin();
+        }
         let begun = self.house.now();
+        let as_of = self.house.stage.get().index;
         let mut pages = 0;
         if let Some(listed) = self.read_list(&mut pages).await {
-            let change = self.compare(listed);
-            if !change.put.is_empty() || !change.gone.is_empty() {
+            let listed = listed.into_iter().map(|(id, l)| (id.clone(), l.into_row(id)));
+            let settings = self.house.settings.get();
+            let scene = Scene {
+                stage: &self.house.stage.get(),
+                as_of,
+                callers: &self.callers(),
+                bounds: &settings.terms.bounds,
+                lag_ms: settings.platform.cloud_api.lag.0,
+            };
+            let change = self.casting.compare(self.house.now(), &listed.collect(), &scene);
+            if !is_nothing(&change) {
                 let _ = conductor.send(Propose(ChangeKind::Workers(change))).await;
             }
         } else {
@@ -89,6 +124,18 @@
             .max(IDLE_MS)
     }
 
+    /// The nodes that take clients.
+    fn callers(&self) -> Vec<Caller> {
+        let members = self.house.members.get();
+        let serving = members.iter().filter(|m| m.is_alive() && m.ready && m.id != 0);
+        serving
+            .map(|m| Caller {
+                id: m.id,
+                zone: m.zone.clone(),
+            })
+            .collect()
+    }
+
     async fn read_list(&self, pages: &mut u64) -> Option<BTreeMap<String, Listed>> {
         let address = self.house.settings.get().platform.cloud_api.address.to_string();
         let mut all = BTreeMap::new();
@@ -121,52 +168,4 @@
             }
         }
     }
-
-    /// What the list says that the control state does not.
-    fn compare(&mut self, listed: BTreeMap<String, Listed>) -> WorkersChange {
-        let now = self.house.now();
-        let stage = self.house.stage.get();
-        self.cold.retain(|id, _| listed.contains_key(id));
-        let mut change = WorkersChange::default();
-        for (id, l) in &listed {
-            let draining = l.state != "ready";
-            let known = stage.workers.get(id);
-            let told_until = self.cold.get(id).copied().unwrap_or(0);
-            let colder = now + l.cold_left.0 > told_until + c::COLD_MARGIN_MS && l.cold_left.0 > 0;
-            let same = known.is_some_and(|w| {
-                w.draining == draining
-                    && w.address == l.address
-                    && w.zone == l.zone
-                    && w.service == l.service
-                    && w.slots == l.capacity_slots
-            });
-            // A node that has only just taken the duty over goes by what the
-            // log says was told.
-            let told_before = known.is_some_and(|w| w.cold_ms > 0) && !self.cold.contains_key(id);
-            if same && (told_before || !colder) {
-                if told_before {
-                    self.cold.insert(id.clone(), now + l.cold_left.0);
-                }
-                continue;
-            }
-            self.cold.insert(id.clone(), now + l.cold_left.0);
-            change.put.push(Worker {
-                id: id.clone(),
-                service: l.service.clone(),
-                address: l.address.clone(),
-                zone: l.zone.clone(),
-                slots: l.capacity_slots,
-                draining,
-                cold_ms: l.cold_left.0,
-                cold_at: 0,
-            });
-        }
-        change.gone = stage
-            .workers
-            .keys()
-            .filter(|id| !listed.contains_key(*id))
-            .cloned()
-            .collect();
-        change
-    }
 }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -429,7 +429,11 @@
                 };
                 let put: Vec<Worker> = listed.iter().filter(|w| !known(w)).cloned().collect();
                 if !put.is_empty() || !gone.is_empty() {
-                    let change = ChangeKind::Workers(WorkersChange { put, gone });
+                    let change = ChangeKind::Workers(WorkersChange {
+                        put,
+                        gone,
+                        ..Default::default()
+                    });
                     life.prompter.propose(encode_change(change));
                 }
             }
--- /dev/null
+++ b/crates/rehearsal/tests/cold.rs
@@ -0,0 +1,455 @@
+//! Whatever comes at a cold worker, all nodes together stay within its bound:
+//! arbitrary arrivals, joins, restarts, leaders and views that lag behind.
+
+use boxoffice::{Caller, Casting, Listed, Scene};
+use playbill::constants as c;
+use playbill::letters::*;
+use playbill::settings::Bounds;
+use playbill::stage::{encode_change, KEYS};
+use playbill::Stage;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use usher::{Found, Neighbours, Observed, Place, Request, Usher};
+
+const CONFIG: &str = r#"{"Version":1,"Limits":{"HeaderMaxBytes":1,"BodyMaxBytes":1,"HeaderTimeout":"1s","IdleTimeout":"1s"},
+    "AccessPoints":[{"Host":"h","Rules":[
+      {"Name":"free","RouteType":"idempotent","Target":"300ms","Condition":{"PathPrefix":"/a/"},"Treatment":{"Service":"s","Timeout":"9s","AttemptLimit":2}},
+      {"Name":"keyed","RouteType":"idempotent","Target":"300ms","Condition":{"PathPrefix":"/b/"},"Treatment":{"Service":"k","Timeout":"9s"}}]}],
+    "Groups":[{"Name":"s","ConnectionLimit":500,"ColdPeriod":"3s","ColdRateS":RATE},
+      {"Name":"k","Partitioned":true,"ConnectionLimit":500,"ColdPeriod":"3s","ColdRateS":RATE}]}"#;
+/// Requests a second that cold workers bear.
+const RATE: &str = "3.0";
+const LAG_MS: u64 = 800;
+const STEP_MS: u64 = 20;
+const ZONES: u64 = 3;
+
+#[derive(Clone, Debug)]
+enum Event {
+    /// Workers of both services begin in a zone, cold; one takes the keys over.
+    Begin {
+        zone: u64,
+        count: usize,
+    },
+    /// A part of the nodes ends and is back after so many ms.
+    Herd {
+        part: f64,
+        dark_ms: u64,
+    },
+    Crowd {
+        per_s: f64,
+    },
+    /// A zone is emptied for so many ms; its workers turn cold shortly before.
+    Evacuate {
+        zone: u64,
+        for_ms: u64,
+    },
+    NewLeader,
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        (0..ZONES, 1..6usize).prop_map(|(zone, count)| Event::Begin { zone, count }),
+        (0.1..1.0, 20..1500u64).prop_map(|(part, dark_ms)| Event::Herd { part, dark_ms }),
+        (0.0..400.0).prop_map(|per_s| Event::Crowd { per_s }),
+        (0..ZONES, 3000..5000u64).prop_map(|(zone, for_ms)| Event::Evacuate { zone, for_ms }),
+        Just(Event::NewLeader),
+    ]
+}
+
+struct Node {
+    id: u64,
+    zone: u64,
+    usher: Usher,
+    seen: usize,
+    /// How far its copy lags behind.
+    lag_ms: u64,
+    up_at: u64,
+    keeps_id: bool,
+}
+
+struct Worker {
+    row: Listed,
+    cold_until: u64,
+    /// It is cold from then on; the list shows it later.
+    cold_from: u64,
+    arrivals: Vec<u64>,
+}
+
+struct Day {
+    now: u64,
+    rng: SmallRng,
+    nodes: Vec<Node>,
+    workers: BTreeMap<String, Worker>,
+    /// The log: when each state was reached.
+    log: Vec<(u64, Arc<Stage>)>,
+    casting: Casting,
+    bounds: Bounds,
+    per_s: f64,
+    next_id: u64,
+    answers: Vec<(u64, usize, u64, String)>,
+    back: Vec<(u64, u64)>,
+}
+
+impl Day {
+    fn new(seed: u64, nodes: u64, rate: &str) -> Day {
+        let bounds = Bounds {
+            cold_excess: 1.5,
+            cold_slack: 6.0,
+            retry_ratio: 0.2,
+            retry_slack: 50.0,
+            ..Default::default()
+        };
+        let mut day = Day {
+            now: 1,
+            rng: SmallRng::seed_from_u64(seed),
+            nodes: Vec::new(),
+            workers: BTreeMap::new(),
+            log: vec![(0, Arc::new(Stage::default()))],
+            casting: Casting::default(),
+            bounds,
+            per_s: 100.0,
+            next_id: 1,
+            answers: Vec::new(),
+            back: Vec::new(),
+        };
+        day.change(ChangeKind::Replace(ReplaceOrder {
+            body: CONFIG.replace("RATE", rate).into(),
+            ..Default::default()
+        }));
+        for i in 0..nodes {
+            let node = day.node(i % ZONES, i < 2 * ZONES);
+            day.nodes.push(node);
+        }
+        for i in 0..ZONES * 4 {
+            for service in ["s", "k"] {
+                day.worker(&format!("{service}-old-{i}"), service, i % ZONES, 0);
+            }
+        }
+        day.give_keys("k-old-0");
+        day
+    }
+
+    fn node(&mut self, zone: u64, keeps_id: bool) -> Node {
+        self.next_id += 1;
+        let zones = (0..ZONES).map(|z| (format!("z{z}"), "r".to_string())).collect();
+        let seed = self.rng.gen();
+        Node {
+            id: self.next_id,
+            zone,
+            usher: Usher::new(&format!("z{zone}"), zones, self.bounds.clone(), seed),
+            seen: 0,
+            lag_ms: self.rng.gen_range(0..1200),
+            up_at: self.now,
+            keeps_id,
+        }
+    }
+
+    fn worker(&mut self, id: &str, service: &str, zone: u64, cold_ms: u64) {
+        let row = Listed {
+            id: id.into(),
+            service: service.into(),
+            zone: format!("z{zone}"),
+            slots: 6,
+            ..Default::default()
+        };
+        let worker = Worker {
+            row,
+            cold_from: self.now,
+            cold_until: self.now + cold_ms,
+            arrivals: Vec::new(),
+        };
+        self.workers.insert(id.into(), worker);
+    }
+
+    fn stage(&self) -> Arc<Stage> {
+        self.log[self.log.len() - 1].1.clone()
+    }
+
+    fn change(&mut self, kind: ChangeKind) {
+        let mut stage = (*self.stage()).clone();
+        stage.apply(stage.index + 1, &encode_change(kind));
+        self.log.push((self.now, Arc::new(stage)));
+    }
+
+    fn give_keys(&mut self, worker: &str) {
+        let put = vec![Holding {
+            service: "k".into(),
+            to: KEYS - 1,
+            worker: worker.into(),
+            fence: self.log.len() as u64,
+            ..Default::default()
+        }];
+        self.change(ChangeKind::Keys(KeysChange { put }));
+    }
+
+    fn happen(&mut self, event: &Event) {
+        match *event {
+            Event::Begin { zone, count } => {
+                for i in 0..count {
+                    for service in ["s", "k"] {
+                        self.worker(&format!("{service}-{}-{i}", self.now), service, zone, 3000);
+                    }
+                }
+                self.read_list();
+                self.give_keys(&format!("k-{}-0", self.now));
+            }
+            Event::Herd { part, dark_ms } => {
+                for i in 0..self.nodes.len() {
+                    if self.rng.gen_bool(part) {
+                        let (zone, keeps, id) =
+                            (self.nodes[i].zone, self.nodes[i].keeps_id, self.nodes[i].id);
+                        let mut node = self.node(zone, keeps);
+                        node.up_at = self.now + dark_ms;
+                        if keeps {
+                            node.id = id;
+                        }
+                        self.nodes[i] = node;
+                    }
+                }
+                self.answers.clear();
+            }
+            Event::Crowd { per_s } => self.per_s = per_s,
+            Event::Evacuate { zone, for_ms } => {
+                self.evacuate(zone, true);
+                self.back.push((self.now + for_ms, zone));
+            }
+            Event::NewLeader => self.casting.begin(),
+        }
+    }
+
+    fn evacuate(&mut self, zone: u64, begin: bool) {
+        let zone = format!("z{zone}");
+        self.change(ChangeKind::Evacuate(EvacuationChange { zone, begin }));
+    }
+
+    /// The leader reads the list, which is behind.
+    fn read_list(&mut self) {
+        let now = self.now;
+        let shown = now.saturating_sub(LAG_MS);
+        let mut listed = BTreeMap::new();
+        for (id, w) in &self.workers {
+            let mut row = w.row.clone();
+            if w.cold_from <= shown || !self.stage().workers.contains_key(id) {
+                row.cold_ms = w.cold_until.saturating_sub(shown);
+            }
+            listed.insert(id.clone(), row);
+        }
+        let callers: Vec<Caller> = self
+            .nodes
+            .iter()
+            .filter(|n| n.up_at <= now)
+            .map(|n| Caller {
+                id: n.id,
+                zone: format!("z{}", n.zone),
+            })
+            .collect();
+        let stage = self.stage();
+        let scene = Scene {
+            stage: &stage,
+            as_of: stage.index,
+            callers: &callers,
+            bounds: &self.bounds,
+            lag_ms: LAG_MS,
+        };
+        let change = self.casting.compare(now, &listed, &scene);
+        if !boxoffice::is_nothing(&change) {
+            self.change(ChangeKind::Workers(change));
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP_MS;
+        let now = self.now;
+        let back: Vec<u64> = self
+            .back
+            .iter()
+            .filter(|(at, _)| *at <= now)
+            .map(|(_, z)| *z)
+            .collect();
+        self.back.retain(|(at, _)| *at > now);
+        for zone in back {
+            let turns = self.rng.gen_bool(0.7);
+            let before = self.rng.gen_range(0..500);
+            let name = format!("z{zone}");
+            for w in self.workers.values_mut().filter(|w| turns && w.row.zone == name) {
+                w.cold_from = now - before;
+                w.cold_until = now - before + 3000;
+            }
+            self.evacuate(zone, false);
+        }
+        if now % 500 < STEP_MS {
+            self.read_list();
+        }
+        let (mut due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.answers)
+            .into_iter()
+            .partition(|a| a.0 <= now);
+        self.answers = rest;
+        for (_, node, id, worker) in due.drain(..) {
+            if self.nodes[node].id == id {
+                self.nodes[node]
+                    .usher
+                    .observe(now, &worker, Observed::Answered(60.0));
+            }
+        }
+        for i in 0..self.nodes.len() {
+            self.serve(i);
+        }
+    }
+
+    fn serve(&mut self, i: usize) {
+        let now = self.now;
+        let (log, edges) = (&self.log, self.nodes.len());
+        let node = &mut self.nodes[i];
+        if node.up_at > now {
+            return;
+        }
+        // A fresh copy is as new as its voter's.
+        let newest = log.partition_point(|(at, _)| at + node.lag_ms <= now).max(1) - 1;
+        if node.seen < newest {
+            node.seen = newest;
+            node.usher.set_stage(now, log[newest].1.clone());
+        }
+        // Who has just begun knows nobody.
+        let alone = now < node.up_at + 1000;
+        let (edges, in_zone) = if alone {
+            (1, 1)
+        } else {
+            (edges, edges / ZONES as usize)
+        };
+        node.usher.set_neighbours(Neighbours {
+            place: Place {
+                edges,
+                number: 0,
+                in_zone: in_zone.max(1),
+                number_in_zone: 0,
+            },
+            me: node.id,
+            rtt: BTreeMap::new(),
+        });
+        let Some(config) = log[node.seen].1.config.clone() else {
+            return;
+        };
+        for (path, service) in [("/a/", "s"), ("/b/", "k")] {
+            let chance = self.per_s * STEP_MS as f64 / 1000.0 / edges as f64;
+            let mut left = chance.floor() as u32 + u32::from(self.rng.gen_bool(chance.fract()));
+            while left > 0 {
+                left -= 1;
+                let Some(route) = config.route("h", path) else {
+                    continue;
+                };
+                let tried: Vec<String> = Vec::new();
+                let ask = Request {
+                    route,
+                    key: (service == "k").then(|| self.rng.gen_range(0..KEYS)),
+                    service,
+                    tried: &tried,
+                    left_ms: 8000,
+                    zone: None,
+                };
+                if let Found::Worker(found) = node.usher.choose(now, &ask) {
+                    let answer = (now + 60, i, node.id, found.id.clone());
+                    self.answers.push(answer);
+                    if let Some(w) = self.workers.get_mut(&found.id) {
+                        if w.cold_from <= now && now < w.cold_until {
+                            w.arrivals.push(now);
+                        }
+                    }
+                }
+            }
+        }
+    }
+
+    /// The most that a cold worker got in one second, and all that they got.
+    fn most(&self) -> (usize, usize) {
+        let most = self.workers.values().map(|w| {
+            let within = |t: &u64| w.arrivals.iter().filter(|a| **a >= *t && **a < t + 1000).count();
+            w.arrivals.iter().map(within).max().unwrap_or(0)
+        });
+        let all = self.workers.values().map(|w| w.arrivals.len()).sum();
+        (most.max().unwrap_or(0), all)
+    }
+
+    fn bound(&self) -> usize {
+        (3.0 * self.bounds.cold_excess + self.bounds.cold_slack) as usize
+    }
+}
+
+fn play(seed: u64, nodes: u64, rate: &str, events: &[(u64, Event)]) -> Day {
+    let mut day = Day::new(seed, nodes, rate);
+    for _ in 0..3000 / STEP_MS {
+        day.step();
+    }
+    for (pause, event) in events {
+        for _ in 0..pause / STEP_MS {
+            day.step();
+        }
+        day.happen(event);
+    }
+    for _ in 0..5000 / STEP_MS {
+        day.step();
+    }
+    day
+}
+
+fn config(cases: u32) -> Config {
+    Config {
+        cases,
+        rng_seed: RngSeed::Fixed(20_261_202),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config(48))]
+
+    #[test]
+    fn no_cold_worker_is_flooded(
+        seed in any::<u64>(),
+        nodes in prop_oneof![1..20u64, 60..90u64, 200..320u64],
+        events in prop::collection::vec((0..2500u64, event()), 1..8),
+    ) {
+        let day = play(seed, nodes, RATE, &events);
+        let (most, _) = day.most();
+        prop_assert!(most <= day.bound(), "{most} of {}", day.bound());
+    }
+}
+
+/// A whole zone begins cold, and is flooded after a herd of restarts.
+fn hard() -> Vec<(u64, Event)> {
+    let herd = Event::Herd {
+        part: 0.6,
+        dark_ms: 100,
+    };
+    vec![
+        (0, Event::Crowd { per_s: 300.0 }),
+        (0, Event::Begin { zone: 1, count: 5 }),
+        (600, herd),
+    ]
+}
+
+#[test]
+fn the_check_finds_a_share_that_is_too_large() {
+    let day = play(1, 80, "40.0", &hard());
+    assert!(day.most().0 > day.bound(), "{:?}", day.most());
+    let day = play(1, 80, RATE, &hard());
+    assert!(day.most().0 <= day.bound(), "{:?}", day.most());
+}
+
+#[test]
+fn what_cold_workers_bear_is_used() {
+    let events = [
+        (0, Event::Crowd { per_s: 400.0 }),
+        (0, Event::Begin { zone: 1, count: 5 }),
+    ];
+    let day = play(3, 45, RATE, &events);
+    // Workers of both services bear 3 a second for 3 s; of those with keys, one.
+    let bears = (5.0 + 1.0) * 3.0 * 3.0 * c::COLD_PART;
+    let used = day.most().1 as f64 / bears;
+    println!("used: {used:.2}");
+    assert!(used > 0.4, "{used:.2}");
+}
--- a/crates/understudy/src/lib.rs
+++ b/crates/understudy/src/lib.rs
@@ -54,6 +54,7 @@
         part.allowances = image.allowances.clone();
         part.slack = image.slack;
         part.benched = image.benched.clone();
+        part.casts = image.casts.clone();
     }
     part.workers = image
         .workers
@@ -135,6 +136,7 @@
         image.allowances = newer.allowances.clone();
         image.slack = newer.slack;
         image.benched = newer.benched.clone();
+        image.casts = newer.casts.clone();
     }
     image.workers.extend(newer.workers.iter().cloned());
     image.holdings.extend(newer.holdings.iter().cloned());
@@ -154,7 +156,10 @@
         }];
         stage.apply(
             index,
-            &encode_change(ChangeKind::Workers(WorkersChange { put, gone: vec![] })),
+            &encode_change(ChangeKind::Workers(WorkersChange {
+                put,
+                ..Default::default()
+            })),
         );
     }
 
@@ -171,6 +176,7 @@
             &encode_change(ChangeKind::Workers(WorkersChange {
                 put: vec![],
                 gone: vec!["w3".into()],
+                ..Default::default()
             })),
         );
         newer.apply(
--- a/crates/usher/src/seats.rs
+++ b/crates/usher/src/seats.rs
@@ -1,13 +1,13 @@
 use crate::budget::Budget;
 use crate::pool::{Place, Pool};
-use playbill::config::{Route, RouteKind};
+use playbill::config::{cold_bound, Route, RouteKind};
 use playbill::constants as c;
 use playbill::letters::Worker;
 use playbill::settings::Bounds;
 use playbill::Stage;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -83,14 +83,12 @@
     /// It is cold between these times.
     cold_since: u64,
     cold_until: u64,
-    /// When it was last given a request while cold.
-    cold_sent: u64,
+    /// When it was given requests while cold, as far as they count still.
+    cold_sent: VecDeque<u64>,
     /// Where in the pause between two requests this node's turn comes first, as
     /// a part of it: all nodes hear at once that a worker is cold.
     cold_turn: f64,
     inflight: u32,
-    /// Requests sent there that are remembered, fading, and as of when.
-    recent: (f64, u64),
     answer_ms: f64,
     /// It has answered us before.
     known: bool,
@@ -121,18 +119,39 @@
     /// Whether it is this node's turn at a cold worker, of which each comes
     /// after `gap` ms.
     fn has_turn(&self, now: u64, gap: f64) -> bool {
-        let due = if self.cold_sent > self.cold_since {
-            self.cold_sent as f64 + gap
-        } else {
-            self.cold_since as f64 + gap * self.cold_turn
+        let due = match self.cold_sent.back() {
+            Some(last) if *last > self.cold_since => *last as f64 + gap,
+            _ => self.cold_since as f64 + gap * self.cold_turn,
         };
         now as f64 >= due
     }
 
-    /// Requests remembered as of now.
-    fn recent(&self, now: u64) -> f64 {
-        let (count, at) = self.recent;
-        count * (-(now.saturating_sub(at) as f64) / c::RECENT_MS).exp()
+    /// Requests of the last while: what is sent now may arrive within the same
+    /// second as they.
+    fn sent_while_cold(&self, now: u64) -> usize {
+        let recent = |at: &&u64| **at + c::COLD_WINDOW_MS > now;
+        self.cold_sent.iter().filter(recent).count()
+    }
+
+    /// Takes in what the control state says of its being cold.
+    fn take_cold(&mut self, now: u64, stage: &Stage) {
+        let worker = self.worker.clone();
+        let returned = stage.returned.get(&worker.zone).copied().unwrap_or(0);
+        if worker.cold_at != self.cold_seen {
+            self.cold_seen = worker.cold_at;
+            if worker.cold_ms > 0 {
+                self.cool(now, worker.cold_ms + c::COLD_MARGIN_MS);
+            } else if !stage.is_unread(&worker) {
+                self.cold_until = now;
+            }
+        }
+        // Workers of a zone that was taken back are cold at first.
+        if returned > self.returned_seen {
+            self.returned_seen = returned;
+            if stage.is_unread(&worker) {
+                self.cool(now, returned_cold(stage, &worker));
+            }
+        }
     }
 }
 
@@ -149,6 +168,8 @@
     pools: HashMap<String, Rc<Pool>>,
     budgets: HashMap<String, Budget>,
     rng: SmallRng,
+    /// When this life first saw the control state.
+    born: Option<u64>,
 }
 
 /// How long a worker whose zone was taken back is cold, in ms.
@@ -182,6 +203,7 @@
             pools: HashMap::new(),
             budgets: HashMap::new(),
             rng: SmallRng::seed_from_u64(seed),
+            born: None,
         }
     }
 
@@ -195,6 +217,7 @@
     /// Takes a newer copy of the control state; returns the workers that are
     /// gone. What has not changed costs nothing.
     pub fn set_stage(&mut self, now: u64, stage: Arc<Stage>) -> Vec<String> {
+        self.born.get_or_insert(now);
         let before = std::mem::replace(&mut self.stage, stage.clone());
         let same_config = match (&before.config, &stage.config) {
             (Some(a), Some(b)) => Arc::ptr_eq(a, b),
@@ -208,7 +231,9 @@
             gone = self.take_workers(now, &stage);
         }
         if before.returned != stage.returned {
-            self.note_returned(now, &stage);
+            for seat in self.seats.values_mut() {
+                seat.take_cold(now, &stage);
+            }
         }
         if !Arc::ptr_eq(&before.benched, &stage.benched) {
             for id in before.benched.difference(&stage.benched) {
@@ -243,7 +268,6 @@
                 None => self.mean_answer(&worker.service),
             };
             means.insert(&worker.service, mean);
-            let returned = stage.returned.get(&worker.zone).copied().unwrap_or(0);
             let seat = self.seats.entry(id.clone()).or_insert_with(|| Seat {
                 worker: worker.clone(),
                 region,
@@ -251,10 +275,9 @@
                 returned_seen: 0,
                 cold_since: 0,
                 cold_until: 0,
-                cold_sent: 0,
+                cold_sent: VecDeque::new(),
                 cold_turn: rng.gen(),
                 inflight: 0,
-                recent: (0.0, now),
                 answer_ms: mean,
                 known: false,
                 answered_at: now,
@@ -266,14 +289,7 @@
                 answered_ms: 0.0,
             });
             seat.worker = worker.clone();
-            if worker.cold_ms > 0 && worker.cold_at != seat.cold_seen {
-                seat.cold_seen = worker.cold_at;
-                seat.cool(now, worker.cold_ms + c::COLD_MARGIN_MS);
-            }
-            if returned > seat.returned_seen {
-                seat.returned_seen = returned;
-                seat.cool(now, returned_cold(stage, worker));
-            }
+            seat.take_cold(now, stage);
         }
         self.rng = rng;
         self.by_service.clear();
@@ -290,17 +306,6 @@
         gone
     }
 
-    /// Workers of a zone that was taken back are cold at first.
-    fn note_returned(&mut self, now: u64, stage: &Stage) {
-        for seat in self.seats.values_mut() {
-            let returned = stage.returned.get(&seat.worker.zone).copied().unwrap_or(0);
-            if returned > seat.returned_seen {
-                seat.returned_seen = returned;
-                seat.cool(now, returned_cold(stage, &seat.worker));
-            }
-        }
-    }
-
     /// The workers of a service that this node uses.
     fn pool(&mut self, service: &str) -> Option<Rc<Pool>> {
         if let Some(pool) = self.pools.get(service) {
@@ -380,9 +385,11 @@
             return Found::Nobody(c::RETRY_AFTER_MS);
         };
         seat.inflight += 1;
-        seat.recent = (seat.recent(now) + 1.0, now);
         if seat.is_cold(now) {
-            seat.cold_sent = now;
+            while seat.cold_sent.len() > c::COLD_REMEMBERED {
+                seat.cold_sent.pop_front();
+            }
+            seat.cold_sent.push_back(now);
         }
         Found::Worker(Choice {
             id: found,
@@ -407,37 +414,32 @@
         }
     }
 
-    /// Requests a second that all nodes together give a cold worker.
-    fn cold_rate(&self, seat: &Seat) -> f64 {
+    /// Whether a worker may be given a request as far as its being cold goes.
+    /// Only the nodes of its cast use a cold worker. Each has so many shares that
+    /// all together stay within the bound, whenever they are used; it spaces its
+    /// requests so that they come to what the worker bears in the long run.
+    fn may_while_cold(&self, now: u64, seat: &Seat) -> bool {
+        if !seat.is_cold(now) {
+            return true;
+        }
+        // Who has just begun does not know what its last life has sent.
+        if self.born.is_none_or(|born| now < born + c::COLD_WINDOW_MS) {
+            return false;
+        }
+        let Some(cast) = self.stage.cast_of(&seat.worker) else {
+            return false;
+        };
+        if !cast.contains(&self.neighbours.me) {
+            return false;
+        }
         let config = self.stage.config.as_ref();
         let service = config.and_then(|c| c.services.get(seat.worker.service.as_str()));
+        let shares = cold_bound(service, &self.bounds) / cast.len();
         // Without a figure, one a second.
         let rate = service.map_or(0.0, |s| s.cold_rate);
-        c::COLD_PART * if rate > 0.0 { rate } else { 1.0 }
-    }
-
-    /// Whether a worker without keys may be given a request as far as its being
-    /// cold goes. Only nodes of its own zone use a cold worker, each in its turn.
-    fn may_while_cold(&self, now: u64, seat: &Seat, sharers: f64) -> bool {
-        let gap = 1000.0 * sharers / self.cold_rate(seat);
-        !seat.is_cold(now) || seat.worker.zone == self.zone && seat.has_turn(now, gap)
-    }
-
-    /// The same for a holder of keys, which all nodes call. Among hundreds a turn
-    /// comes too seldom to serve anybody; there each request is admitted by
-    /// chance, the less likely the busier the worker has been as this node saw it.
-    fn admits_while_cold(&mut self, now: u64, id: &str) -> bool {
-        let Some(seat) = self.seats.get(id).filter(|s| s.is_cold(now)) else {
-            return true;
-        };
-        let edges = self.neighbours.place.edges.max(1) as f64;
-        let bears = self.cold_rate(seat);
-        let gap = 1000.0 * edges / bears;
-        if gap <= c::RECENT_MS / 4.0 {
-            return seat.has_turn(now, gap);
-        }
-        let busy = seat.recent(now) * 1000.0 / c::RECENT_MS * edges;
-        busy <= bears || self.rng.gen::<f64>() < bears / busy
+        let rate = c::COLD_PART * if rate > 0.0 { rate } else { 1.0 };
+        let gap = 1000.0 * cast.len() as f64 / rate;
+        seat.sent_while_cold(now) < shares.min(c::COLD_REMEMBERED) && seat.has_turn(now, gap)
     }
 
     /// Whether a worker may be given a request at all.
@@ -462,8 +464,8 @@
             let each = pool.members.first().map_or(1, |(_, each)| *each);
             let free =
                 (now >= seat.left_alone_until || seat.inflight == 0) && !self.hopeless(seat, request, &pool);
-            let id = (free && self.may(seat, each, request)).then(|| holding.worker.clone())?;
-            return self.admits_while_cold(now, &id).then_some(id);
+            let may = free && self.may(seat, each, request) && self.may_while_cold(now, seat);
+            return may.then(|| holding.worker.clone());
         }
         let mut best: Option<(f64, &Arc<Worker>)> = None;
         let mut spare: Option<&Arc<Worker>> = None;
@@ -471,7 +473,7 @@
             let Some(seat) = self.seats.get(&worker.id) else {
                 continue;
             };
-            let may = self.may(seat, *each, request) && self.may_while_cold(now, seat, pool.sharers);
+            let may = self.may(seat, *each, request) && self.may_while_cold(now, seat);
             if !may || self.hopeless(seat, request, &pool) {
                 continue;
             }
@@ -661,13 +663,20 @@
                 zone: zone.to_string(),
                 slots: 6,
                 cold_ms: *cold_ms,
+                cast: 1,
                 ..Default::default()
             })
             .collect();
-        stage.apply(
-            2,
-            &encode_change(ChangeKind::Workers(WorkersChange { put, gone: vec![] })),
-        );
+        let casts = vec![Cast {
+            number: 1,
+            nodes: vec![7, 8, 9],
+        }];
+        let change = WorkersChange {
+            put,
+            casts,
+            ..Default::default()
+        };
+        stage.apply(2, &encode_change(ChangeKind::Workers(change)));
         stage
     }
 
@@ -763,6 +772,7 @@
             &encode_change(ChangeKind::Workers(WorkersChange {
                 put: vec![w],
                 gone: vec![],
+                ..Default::default()
             })),
         );
         u.set_stage(20, Arc::new(stage.clone()));
@@ -772,11 +782,16 @@
     #[test]
     fn all_nodes_of_a_zone_together_keep_a_cold_worker_within_its_rate() {
         let stage = stage(&[("cold", "z1", 60_000)]);
-        let mut nodes: Vec<Usher> = (0..3).map(|_| usher(&stage)).collect();
+        let mut nodes: Vec<Usher> = (0..5).map(|_| usher(&stage)).collect();
+        for (me, u) in (6..).zip(&mut nodes) {
+            u.neighbours.me = me;
+        }
         let mut sent = Vec::new();
         for now in (0..10_000).step_by(10) {
             for u in &mut nodes {
                 if let Found::Worker(_) = pick(u, &stage, "/a/", now, &[]) {
+                    assert!((7..=9).contains(&u.neighbours.me), "only its cast");
+                    assert!(now >= c::COLD_WINDOW_MS, "nobody who has just begun");
                     sent.push(now);
                     u.observe(now, "cold", Observed::Answered(50.0));
                 }
@@ -889,7 +904,7 @@
         }
         assert!(
             matches!(pick(&mut u, &stage, "/a/", 200, &tried), Found::Nobody(_)),
-            "cold, and in another zone"
+            "cold, and nobody is named"
         );
         assert_eq!(id(&pick(&mut u, &stage, "/a/", 5000, &tried)), "next");
     }
--- a/crates/wardrobe/src/lib.rs
+++ b/crates/wardrobe/src/lib.rs
@@ -328,7 +328,10 @@
         if self.awaiting_log {
             return acts;
         }
-        let cold = |id: &str| self.is_weak(now, id);
+        let cold = |id: &str| {
+            let unread = |w: &Arc<playbill::letters::Worker>| stage.is_unread(w);
+            self.is_weak(now, id) || stage.workers.get(id).is_some_and(unread)
+        };
         let view = View {
             stage,
             loads: &self.loads,
@@ -363,7 +366,8 @@
 
     /// Remembers how long workers stay cold, from when it was told.
     fn note_cold(&mut self, now: u64, stage: &Stage) {
-        self.cold.retain(|id, _| stage.workers.contains_key(id));
+        self.cold
+            .retain(|id, _| stage.workers.get(id).is_some_and(|w| w.cold_ms > 0));
         for w in stage.workers.values().filter(|w| w.cold_ms > 0) {
             let entry = self.cold.entry(w.id.clone()).or_default();
             if entry.0 != w.cold_at {
--- a/crates/wardrobe/src/tests.rs
+++ b/crates/wardrobe/src/tests.rs
@@ -27,7 +27,10 @@
             ..Default::default()
         }));
         let put = (0..workers).map(|i| worker(&format!("w{i}"))).collect();
-        play.change(ChangeKind::Workers(WorkersChange { put, gone: vec![] }));
+        play.change(ChangeKind::Workers(WorkersChange {
+            put,
+            ..Default::default()
+        }));
         play
     }
 
@@ -116,7 +119,10 @@
         draining: true,
         ..worker("w1")
     }];
-    p.change(ChangeKind::Workers(WorkersChange { put, gone: vec![] }));
+    p.change(ChangeKind::Workers(WorkersChange {
+        put,
+        ..Default::default()
+    }));
     p.calls.clear();
     p.run(1000, "");
     p.check_cover();
@@ -134,7 +140,10 @@
         draining: true,
         ..worker("w0")
     }];
-    p.change(ChangeKind::Workers(WorkersChange { put, gone: vec![] }));
+    p.change(ChangeKind::Workers(WorkersChange {
+        put,
+        ..Default::default()
+    }));
     let least = (c::HOLD_MS as f64 * c::HOLD_CLOCK) as u64;
     while p.held_by("w0") > 0 {
         p.run(100, "w0");
@@ -162,12 +171,16 @@
     p.change(ChangeKind::Workers(WorkersChange {
         put: vec![],
         gone: vec!["w0".into()],
+        ..Default::default()
     }));
     let put = vec![Worker {
         draining: true,
         ..worker("w1")
     }];
-    p.change(ChangeKind::Workers(WorkersChange { put, gone: vec![] }));
+    p.change(ChangeKind::Workers(WorkersChange {
+        put,
+        ..Default::default()
+    }));
     p.run(300, "w1");
     assert_eq!(p.held_by("w0"), 0);
     assert!(p.held_by("w1") > 0);
@@ -189,7 +202,10 @@
         cold_ms: 3000,
         ..worker("new")
     }];
-    p.change(ChangeKind::Workers(WorkersChange { put, gone: vec![] }));
+    p.change(ChangeKind::Workers(WorkersChange {
+        put,
+        ..Default::default()
+    }));
     p.run(2500, "");
     assert_eq!(p.held_by("new"), 0, "still cold");
     p.run(6000, "");
@@ -292,3 +308,37 @@
         .iter()
         .any(|a| matches!(a, Act::Grant(g) if g.holding.fence == top + 1)));
 }
+
+#[test]
+fn a_zone_taken_back_gets_no_keys_before_the_list_was_read_again() {
+    let mut p = Play::new(3);
+    let put = vec![Worker {
+        zone: "back".into(),
+        ..worker("w0")
+    }];
+    let read = |p: &mut Play, put: &Vec<Worker>| {
+        let change = WorkersChange {
+            put: put.clone(),
+            as_of: p.stage.index,
+            ..Default::default()
+        };
+        p.change(ChangeKind::Workers(change));
+    };
+    read(&mut p, &put);
+    p.run(1000, "");
+    let evacuate = |begin| {
+        ChangeKind::Evacuate(EvacuationChange {
+            zone: "back".into(),
+            begin,
+        })
+    };
+    p.change(evacuate(true));
+    p.run(9000, "");
+    assert_eq!(p.held_by("w0"), 0);
+    p.change(evacuate(false));
+    p.run(4000, "");
+    assert_eq!(p.held_by("w0"), 0, "nobody knows yet whether it is cold");
+    read(&mut p, &put);
+    p.run(4000, "");
+    assert!(p.held_by("w0") > 0);
+}
