--- a/crates/boxoffice/src/bench.rs
+++ b/crates/boxoffice/src/bench.rs
@@ -5,6 +5,7 @@
 use playbill::constants as c;
 use playbill::letters::{short, Capacity};
 use playbill::Stage;
+use preview::Side;
 use std::collections::{BTreeMap, BTreeSet};
 
 /// Outcomes that fade.
@@ -101,6 +102,8 @@
             .workers
             .values()
             .filter(|w| w.service == service && !w.draining)
+            // A version on trial is judged as a whole.
+            .filter(|w| stage.side(w) == Side::Old)
             .map(|w| w.id.as_str())
             .collect();
         let known: Vec<(&str, Outcomes)> = workers
--- a/crates/boxoffice/src/casting.rs
+++ b/crates/boxoffice/src/casting.rs
@@ -127,6 +127,7 @@
         && known.address == listed.address
         && known.zone == listed.zone
         && known.service == listed.service
+        && known.version == listed.version
         && known.slots == listed.slots
 }
 
--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -166,6 +166,13 @@
 /// Pause between two looks at who holds what, ms.
 pub const KEYS_EVERY_MS: u64 = 100;
 
+/// Pause between two looks at the rollouts, ms: twice in a report's pause.
+pub const ROLLOUT_EVERY_MS: u64 = 250;
+/// Least length of a rollout, ms: its stages need some seconds.
+pub const ROLLOUT_LEAST_MS: u64 = 1000;
+/// Letters that a reason for passing over a gate must have.
+pub const BYPASS_REASON: usize = 10;
+
 /// Weight of the newest measurement in the smoothed rates (design: 0.6).
 pub const RATE_SMOOTHING: f64 = 0.6;
 /// Part of a site's capacity that the flow may use (design: 0.9).
--- a/crates/playbill/src/letters.rs
+++ b/crates/playbill/src/letters.rs
@@ -1,5 +1,6 @@
 //! Messages between nodes, and the changes that the log orders.
 
+use preview::{Create, Preview, PreviewChange, Trial};
 use prost::{Message, Oneof};
 use std::collections::BTreeMap;
 
@@ -44,7 +45,7 @@
 pub struct ControlCall {
     #[prost(uint64, tag = "1")]
     pub id: u64,
-    #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6")]
+    #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub order: Option<Order>,
 }
 
@@ -63,6 +64,44 @@
     /// Change named items of the configuration.
     #[prost(message, tag = "6")]
     Modify(ReplaceOrder),
+    /// Move a service to a new version.
+    #[prost(message, tag = "7")]
+    Begin(BeginOrder),
+    /// Read the newest rollout of a service.
+    #[prost(string, tag = "8")]
+    Rollout(String),
+    /// Promote, pause, resume, roll back or cancel a rollout.
+    #[prost(message, tag = "9")]
+    Steer(PreviewChange),
+    #[prost(message, tag = "10")]
+    KillSwitch(KillSwitch),
+    /// Read all rollouts.
+    #[prost(bool, tag = "11")]
+    Rollouts(bool),
+}
+
+/// An order to move a service to a new version.
+#[derive(Clone, PartialEq, Message)]
+pub struct BeginOrder {
+    #[prost(string, tag = "1")]
+    pub service: String,
+    #[prost(message, optional, tag = "2")]
+    pub create: Option<Create>,
+    #[prost(string, tag = "3")]
+    pub who: String,
+    #[prost(string, tag = "4")]
+    pub why: String,
+}
+
+/// While it is on no rollout starts or is promoted.
+#[derive(Clone, PartialEq, Message)]
+pub struct KillSwitch {
+    #[prost(bool, tag = "1")]
+    pub on: bool,
+    #[prost(string, tag = "2")]
+    pub who: String,
+    #[prost(string, tag = "3")]
+    pub why: String,
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
@@ -118,6 +157,9 @@
     pub carry: f64,
     #[prost(message, repeated, tag = "8")]
     pub keys: Vec<KeyCounts>,
+    /// Outcomes of services that are being rolled out.
+    #[prost(message, repeated, tag = "9")]
+    pub trials: Vec<Trial>,
 }
 
 impl Report {
@@ -164,6 +206,12 @@
                 None => self.distance.push(d),
             }
         }
+        for t in other.trials {
+            match self.trials.iter_mut().find(|x| x.is_same(&t)) {
+                Some(x) => x.absorb(&t),
+                None => self.trials.push(t),
+            }
+        }
         self.span_ms = self.span_ms.max(other.span_ms);
         self.carry += other.carry;
         for k in other.keys {
@@ -256,7 +304,7 @@
 /// One change to the control state, as the log orders it.
 #[derive(Clone, PartialEq, Message)]
 pub struct Change {
-    #[prost(oneof = "ChangeKind", tags = "1, 2, 3, 4, 5, 6, 7")]
+    #[prost(oneof = "ChangeKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub kind: Option<ChangeKind>,
 }
 
@@ -276,6 +324,10 @@
     Allowance(AllowanceChange),
     #[prost(message, tag = "7")]
     Bench(BenchChange),
+    #[prost(message, tag = "8")]
+    Rollout(PreviewChange),
+    #[prost(message, tag = "9")]
+    KillSwitch(KillSwitch),
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
@@ -314,6 +366,9 @@
     /// for none.
     #[prost(uint32, tag = "10")]
     pub cast: u32,
+    /// The version of its software.
+    #[prost(string, tag = "11")]
+    pub version: String,
 }
 
 /// Nodes that share what a cold worker bears. What a number stands for never
@@ -443,6 +498,10 @@
     pub benched: Vec<String>,
     #[prost(message, repeated, tag = "14")]
     pub casts: Vec<Cast>,
+    #[prost(message, repeated, tag = "15")]
+    pub rollouts: Vec<Preview>,
+    #[prost(message, optional, tag = "16")]
+    pub kill_switch: Option<KillSwitch>,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/playbill/src/settings.rs
+++ b/crates/playbill/src/settings.rs
@@ -152,6 +152,13 @@
     #[validate(range(min = 0.0))]
     pub cold_slack: f64,
     pub evacuation: Span,
+    /// Part of a service's requests that a bad version may get, and how soon it
+    /// must have lost them.
+    #[validate(range(min = 0.0, max = 1.0))]
+    pub exposure_share: f64,
+    #[validate(range(min = 0.0))]
+    pub exposure_slack: f64,
+    pub rollback: Span,
     pub hold_limit: Span,
     pub thaw: Span,
     #[serde(rename = "ttl_max")]
@@ -173,6 +180,9 @@
             cold_excess: 1.0,
             cold_slack: 0.0,
             evacuation: Span(5000),
+            exposure_share: 0.0,
+            exposure_slack: 0.0,
+            rollback: Span(5000),
             hold_limit: Span(10_000),
             thaw: Span(300),
             ttl_max: Span(5000),
--- a/crates/playbill/src/stage.rs
+++ b/crates/playbill/src/stage.rs
@@ -7,6 +7,7 @@
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
 use flate2::Compression;
+use preview::{Refusal, Side, Table};
 use prost::Message;
 use std::collections::{BTreeMap, BTreeSet};
 use std::io::{Read, Write};
@@ -30,6 +31,8 @@
     /// Another version is current.
     Lost(u64),
     Invalid(Fault),
+    /// A change of a rollout does not take place.
+    Refused(Refusal),
 }
 
 #[derive(Clone, Debug, Default)]
@@ -53,6 +56,10 @@
     /// Workers that fail or lag behind their fellows.
     pub benched: Arc<BTreeSet<String>>,
     pub fractions: Arc<Vec<Fraction>>,
+    /// The newest rollout of each service.
+    pub rollouts: Arc<Table>,
+    /// What was last said of the kill switch of rollouts.
+    pub kill_switch: Option<KillSwitch>,
     /// Nodes with a share of the retry slack, and that share.
     pub allowances: Arc<BTreeSet<u64>>,
     pub slack: f64,
@@ -191,10 +198,65 @@
                 self.benched = Arc::new(b.workers.into_iter().collect());
                 Outcome::Applied
             }
+            Some(ChangeKind::Rollout(change)) => {
+                match preview::apply(Arc::make_mut(&mut self.rollouts), index, &change) {
+                    Ok(true) => Outcome::Applied,
+                    Ok(false) => Outcome::Already,
+                    Err(refusal) => Outcome::Refused(refusal),
+                }
+            }
+            Some(ChangeKind::KillSwitch(switch)) => {
+                self.kill_switch = Some(switch);
+                Outcome::Applied
+            }
             None => Outcome::Applied,
         }
     }
 
+    /// Which part of the split of its service a worker belongs to.
+    pub fn side(&self, worker: &Worker) -> Side {
+        let rollout = self.rollouts.get(&worker.service);
+        rollout.map_or(Side::Old, |p| p.side(&worker.version))
+    }
+
+    /// Whether a worker may be given keys, or keep them, as far as versions go.
+    pub fn may_hold(&self, worker: &Worker) -> bool {
+        let Some(p) = self.rollouts.get(&worker.service) else {
+            return true;
+        };
+        match p.side(&worker.version) {
+            Side::Neither => false,
+            Side::Old => !p.is_active() || p.share() < 1.0,
+            Side::New => p.share() > 0.0 && self.on_trial(&worker.service).iter().any(|w| w.id == worker.id),
+        }
+    }
+
+    /// The workers that the new version's share is put on, in an order that all
+    /// nodes agree on: warm ones first, one of each zone in turn.
+    pub fn on_trial(&self, service: &str) -> Vec<&Arc<Worker>> {
+        let Some(p) = self.rollouts.get(service).filter(|p| p.is_active()) else {
+            return Vec::new();
+        };
+        let able = |w: &&Arc<Worker>| !w.draining && !self.evacuated.contains_key(&w.zone);
+        let of = self.workers.values().filter(|w| w.service == service);
+        let (new, old): (Vec<_>, Vec<_>) = of.filter(able).partition(|w| p.side(&w.version) == Side::New);
+        let mut in_zone: BTreeMap<(bool, &str), usize> = BTreeMap::new();
+        let mut ranked: Vec<_> = new
+            .into_iter()
+            .map(|w| {
+                let cold = w.cold_ms > 0 || self.is_unread(w);
+                let rank = in_zone.entry((cold, &w.zone)).or_default();
+                *rank += 1;
+                ((cold, *rank, &w.zone), w)
+            })
+            .collect();
+        ranked.sort_by(|a, b| a.0.cmp(&b.0));
+        let share = p.share();
+        let used = (old.len() as f64 * share * preview::USE_PART).ceil().max(1.0) as usize;
+        let used = if share >= 1.0 { ranked.len() } else { used };
+        ranked.into_iter().take(used).map(|(_, w)| w).collect()
+    }
+
     /// Takes new casts in, and drops those that no worker names any more.
     fn take_casts(&mut self, new: Vec<Cast>) {
         let named: BTreeSet<u32> = self.workers.values().map(|w| w.cast).collect();
@@ -285,6 +347,8 @@
             base: self.config_base,
             amendment: self.config_amendment.to_vec(),
             benched: self.benched.iter().cloned().collect(),
+            rollouts: self.rollouts.values().map(|p| (**p).clone()).collect(),
+            kill_switch: self.kill_switch.clone(),
             evacuated: self
                 .evacuated
                 .iter()
@@ -387,6 +451,14 @@
             benched: Arc::new(image.benched.into_iter().collect()),
             holdings: BTreeMap::new(),
             fractions: Arc::new(image.fractions),
+            rollouts: Arc::new(
+                image
+                    .rollouts
+                    .into_iter()
+                    .map(|p| (p.service.clone(), Arc::new(p)))
+                    .collect(),
+            ),
+            kill_switch: image.kill_switch,
             allowances: Arc::new(image.allowances.into_iter().collect()),
             slack: image.slack,
         };
--- a/crates/playhouse/src/conductor/mod.rs
+++ b/crates/playhouse/src/conductor/mod.rs
@@ -2,9 +2,10 @@
 //! orders of the operator.
 
 mod orders;
+mod rollouts;
 mod tending;
 
-pub use orders::Take;
+pub use orders::{Behind, Take};
 
 use crate::kernel::{House, Plugin, Standing};
 use crate::lobby::{Lobby, SayOfMe};
@@ -346,6 +347,14 @@
     }
 
     fn publish(&mut self) {
+        let now = self.house.now();
+        let heard = match &self.vault {
+            Some(_) if self.prompter.holds_lease(now) => now,
+            Some(_) if self.prompter.is_leader() => self.house.contact.get(),
+            Some(_) => self.prompter.heard_at(),
+            None => self.prompter.feed().1,
+        };
+        self.house.contact.set(heard);
         let before = self.house.standing.get();
         let now = Standing {
             id: self.prompter.id(),
--- a/crates/playhouse/src/conductor/orders.rs
+++ b/crates/playhouse/src/conductor/orders.rs
@@ -1,6 +1,6 @@
 //! Orders of the operator: taken on any node, carried out by the leader.
 
-use super::{Conductor, Propose};
+use super::{rollouts, Conductor, Propose};
 use actix::prelude::*;
 use playbill::constants as c;
 use playbill::letters::*;
@@ -105,7 +105,7 @@
     }
 }
 
-fn refusal(status: u32, text: &str) -> ControlAnswer {
+pub(super) fn refusal(status: u32, text: &str) -> ControlAnswer {
     answer(status, serde_json::json!({ "ErrorText": text }).to_string())
 }
 
@@ -120,11 +120,7 @@
             Err(_) => refusal(503, "ending"),
         },
         Order::Read(_) => {
-            let Ok(Some(rx)) = conductor.send(ReadBegin).await else {
-                return answer(NOT_LEADER, "");
-            };
-            let good = tokio::time::timeout(Duration::from_millis(c::CALL_WAIT_MS), rx).await;
-            if !matches!(good, Ok(Ok(true))) {
+            if !is_newest(&conductor).await {
                 return answer(NOT_LEADER, "");
             }
             match conductor.send(Ask(Question::Configuration)).await {
@@ -139,6 +135,11 @@
             Ok(Some(Err(answer))) => answer,
             _ => answer(NOT_LEADER, ""),
         },
+        Order::Begin(order) => rollouts::begin(conductor, order).await,
+        Order::Rollout(service) => rollouts::read(conductor, Some(service)).await,
+        Order::Rollouts(_) => rollouts::read(conductor, None).await,
+        Order::Steer(change) => rollouts::steer(conductor, change).await,
+        Order::KillSwitch(switch) => settle(conductor, ChangeKind::KillSwitch(switch)).await,
         Order::Evacuate(e) => match conductor.send(IsResent(e.clone())).await {
             Ok(true) => answer(200, "{}"),
             _ => {
@@ -152,6 +153,15 @@
     }
 }
 
+/// Whether this node leads and its copy holds all that was ever acknowledged.
+pub(super) async fn is_newest(conductor: &Addr<Conductor>) -> bool {
+    let Ok(Some(rx)) = conductor.send(ReadBegin).await else {
+        return false;
+    };
+    let good = tokio::time::timeout(Duration::from_millis(c::CALL_WAIT_MS), rx).await;
+    matches!(good, Ok(Ok(true)))
+}
+
 async fn replace(conductor: Addr<Conductor>, order: ReplaceOrder) -> ControlAnswer {
     match conductor.send(JudgeReplace(order.clone())).await {
         Ok(Some(Ok(()))) => settle(conductor, ChangeKind::Replace(order)).await,
@@ -161,7 +171,7 @@
 }
 
 /// Logs a change and waits until the nodes in contact have applied it.
-async fn settle(conductor: Addr<Conductor>, kind: ChangeKind) -> ControlAnswer {
+pub(super) async fn settle(conductor: Addr<Conductor>, kind: ChangeKind) -> ControlAnswer {
     let Ok(Some(outcome)) = conductor.send(Propose(kind)).await else {
         return answer(NOT_LEADER, "");
     };
@@ -186,6 +196,7 @@
             &format!("Base-Version is not the current version {version}"),
         )),
         Outcome::Invalid(fault) => Some(refusal(400, &fault.0)),
+        Outcome::Refused(refused) => Some(rollouts::refused(refused)),
     }
 }
 
@@ -261,6 +272,18 @@
     }
 }
 
+/// Whether nodes in contact have not applied what the log says up to an index.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub struct Behind(pub u64);
+
+impl Handler<Behind> for Conductor {
+    type Result = bool;
+    fn handle(&mut self, Behind(index): Behind, _: &mut Self::Context) -> bool {
+        self.behind(index) > 0
+    }
+}
+
 #[derive(Message)]
 #[rtype(result = "bool")]
 struct AllApplied;
--- a/crates/playhouse/src/desk.rs
+++ b/crates/playhouse/src/desk.rs
@@ -14,7 +14,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
-use usher::{Found, Neighbours, Observed, Place, Request, Usher};
+use usher::{Found, Neighbours, Observed, Place, Request, Ticket, Usher};
 
 inventory::submit! { Plugin { name: "desk", order: 70, start } }
 
@@ -66,6 +66,7 @@
 pub struct Observe {
     pub id: String,
     pub observed: Observed,
+    pub ticket: Option<Ticket>,
 }
 
 /// A client of a zone has asked the directory here.
@@ -117,6 +118,7 @@
     /// Looks at the newest control state before anything is decided.
     fn refresh(&mut self) {
         let stage = self.house.stage.get();
+        self.usher.set_contact(self.house.contact.get());
         if Arc::ptr_eq(&stage, &self.stage) {
             return;
         }
@@ -225,6 +227,7 @@
                 .collect(),
             carry: settings.own_entity.limits.cpu_fraction * 1000.0 / c::CARRY_MS,
             keys,
+            trials: self.usher.take_trials(),
         };
         let mut reports = std::mem::take(&mut self.passed_on);
         if let Some(others) = reports.remove(&report.region) {
@@ -278,6 +281,9 @@
 impl Handler<Observe> for Desk {
     type Result = ();
     fn handle(&mut self, msg: Observe, _: &mut Self::Context) {
+        if let Some(ticket) = &msg.ticket {
+            self.usher.observe_trial(ticket, msg.observed);
+        }
         self.usher.observe(self.house.now(), &msg.id, msg.observed);
     }
 }
--- a/crates/playhouse/src/desks.rs
+++ b/crates/playhouse/src/desks.rs
@@ -1,6 +1,8 @@
 //! The node's own HTTP interfaces: readiness, control and directory, each an
 //! `actix-web` application on the process's one thread.
 
+mod rollouts;
+
 use crate::conductor::{Conductor, Take};
 use crate::desk::{ClientSeen, Desk};
 use crate::kernel::{House, Plugin};
@@ -53,6 +55,11 @@
         .route("/configuration/modify", web::post().to(modify))
         .route("/configuration/read", web::get().to(read))
         .route("/evacuation/{zone}/{what}", web::post().to(evacuate))
+        .route("/rollouts/begin", web::post().to(rollouts::begin))
+        .route("/rollouts/list", web::get().to(rollouts::list))
+        .route("/rollouts/kill-switch", web::post().to(rollouts::kill_switch))
+        .route("/rollouts/{service}/read", web::get().to(rollouts::read))
+        .route("/rollouts/{service}/{action}", web::post().to(rollouts::steer))
         .route("/status", web::get().to(status));
     let factory = HttpService::build()
         .keep_alive(Duration::from_secs(5))
--- a/crates/playhouse/src/front.rs
+++ b/crates/playhouse/src/front.rs
@@ -25,7 +25,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use usher::{Choice, Found, Observed, Usher};
+use usher::{Choice, Found, Observed, Ticket, Usher};
 
 inventory::submit! { Plugin { name: "front", order: 80, start } }
 
@@ -243,6 +243,7 @@
             let seat = Seat {
                 desk: self.desk.clone(),
                 id: choice.id.clone(),
+                ticket: choice.ticket,
                 open: Cell::new(true),
             };
             let sending = match &mut body {
@@ -398,6 +399,7 @@
 struct Seat {
     desk: Addr<Desk>,
     id: String,
+    ticket: Option<Ticket>,
     open: Cell<bool>,
 }
 
@@ -407,6 +409,7 @@
             self.desk.do_send(Observe {
                 id: self.id.clone(),
                 observed,
+                ticket: self.ticket,
             });
         }
     }
--- a/crates/playhouse/src/kernel.rs
+++ b/crates/playhouse/src/kernel.rs
@@ -48,6 +48,8 @@
     pub standing: Published<Standing>,
     /// The address of the voter that this node follows, if it does not vote.
     pub source: Published<Option<String>>,
+    /// When the core was last heard, by the steady clock.
+    pub contact: Cell<u64>,
     /// Set once the process has been told to end.
     pub leaving: Cell<bool>,
     /// Set once a process that ends can take no more requests.
@@ -68,6 +70,7 @@
             rtt: Published::new(BTreeMap::new()),
             standing: Published::new(Standing::default()),
             source: Published::new(None),
+            contact: Cell::new(1),
             leaving: Cell::new(false),
             closing: Cell::new(false),
             counters: Counters::default(),
--- a/crates/playhouse/src/main.rs
+++ b/crates/playhouse/src/main.rs
@@ -12,6 +12,7 @@
 mod placement;
 mod platform;
 mod post;
+mod producer;
 mod sockets;
 mod tally;
 mod upstream;
--- a/crates/playhouse/src/platform.rs
+++ b/crates/playhouse/src/platform.rs
@@ -48,6 +48,8 @@
     service: String,
     address: String,
     zone: String,
+    #[serde(default)]
+    version: String,
     #[serde(default = "one")]
     capacity_slots: u32,
     state: String,
@@ -63,6 +65,7 @@
             service: self.service,
             address: self.address,
             zone: self.zone,
+            version: self.version,
             slots: self.capacity_slots,
             cold_ms: self.cold_left.0,
             ..Default::default()
--- a/crates/playhouse/src/post.rs
+++ b/crates/playhouse/src/post.rs
@@ -6,6 +6,7 @@
 use crate::kernel::{House, Plugin};
 use crate::keys::{Counted, Dresser};
 use crate::placement::Treasurer;
+use crate::producer::{Outcomes, Producer};
 use crate::sockets;
 use actix::prelude::*;
 use bytes::{Buf, BufMut, BytesMut};
@@ -123,6 +124,12 @@
                     capacity: report.capacity.clone(),
                 });
             }
+            if let Some(producer) = self.house.get::<Addr<Producer>>() {
+                producer.do_send(Outcomes {
+                    trials: std::mem::take(&mut report.trials),
+                    capacity: report.capacity.clone(),
+                });
+            }
             if let Some(treasurer) = self.house.get::<Addr<Treasurer>>() {
                 treasurer.do_send(crate::placement::Reported {
                     node: letter.from,
--- /dev/null
+++ b/crates/rehearsal/tests/rollouts.rs
@@ -0,0 +1,653 @@
+//! Plays rollouts on simulated time: proxies, workers of two versions, the log
+//! and the watchdog, with whatever fails meanwhile. One line, one step:
+//!
+//! ```text
+//! nodes 60 | workers 30 | rate 500        proxies, workers of each version, requests a second
+//! new good|errors|slow|late MS|under-load|one-route    what the new version is like
+//! begin 14000                             the order; also `begin-other` for another version
+//! run 2000
+//! lead                                    the leader is lost; another after 900 ms
+//! core-cut 4000                           nobody hears the core
+//! cut 0.4 3000 | herd 0.6 1000            a part of the nodes is cut off, or ends and is back
+//! region-loss 3000                        a zone's workers answer nobody
+//! add 20 | storm 30                       nodes join; changes of the configuration
+//! evacuate z1 | finish z1
+//! say pause|resume|promote|rollback|cancel ; kill-switch on|off
+//! expect in_progress|completed|reverted | expect phase PAUSED | expect refused
+//! ```
+//!
+//! At the end of each: a bad version had no more than it may have, lost its traffic
+//! in time, and what was said to have ended has ended everywhere.
+
+use playbill::letters::*;
+use playbill::settings::Bounds;
+use playbill::stage::{encode_change, Outcome};
+use playbill::Stage;
+use preview::{Action, Create, Critic, Facts, Level, Levels, PreviewChange, Side, State, Trial};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::sync::Arc;
+use usher::{Found, Neighbours, Observed, Place, Request, Ticket, Usher};
+
+const CONFIG: &str = r#"{"Version":VERSION,"Limits":{"HeaderMaxBytes":1,"BodyMaxBytes":1,"HeaderTimeout":"1s","IdleTimeout":"1s"},
+    "AccessPoints":[{"Host":"h","Rules":[
+      {"Name":"most","RouteType":"idempotent","Target":"600ms","Condition":{"PathPrefix":"/a/"},"Treatment":{"Service":"s","Timeout":"4s","AttemptLimit":2}},
+      {"Name":"some","RouteType":"idempotent","Target":"600ms","Condition":{"PathPrefix":"/b/"},"Treatment":{"Service":"s","Timeout":"4s","AttemptLimit":2}}]}],
+    "Groups":[{"Name":"s","ConnectionLimit":500,"ColdPeriod":"3s","ColdRateS":6.0}]}"#;
+const STEP: u64 = 20;
+const ZONES: u64 = 3;
+const SHARE: f64 = 0.1;
+const SLACK: f64 = 50.0;
+const ROLLBACK_MS: u64 = 5000;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Kind {
+    Good,
+    Errors,
+    Slow,
+    Late(u64),
+    UnderLoad,
+    OneRoute,
+}
+
+struct Node {
+    id: u64,
+    zone: u64,
+    usher: Usher,
+    seen: usize,
+    lag_ms: u64,
+    up_at: u64,
+    cut_until: u64,
+}
+
+#[derive(Default)]
+struct StandIn {
+    zone: u64,
+    new: bool,
+    inflight: u32,
+    started: u64,
+    speed: f64,
+}
+
+/// A request under way: when it ends, and for whom.
+struct Flight {
+    at: u64,
+    node: usize,
+    life: u64,
+    worker: String,
+    ticket: Option<Ticket>,
+    end: Observed,
+}
+
+struct Fleet {
+    now: u64,
+    rng: SmallRng,
+    nodes: Vec<Node>,
+    workers: BTreeMap<String, StandIn>,
+    log: Vec<(u64, Arc<Stage>)>,
+    flights: Vec<Flight>,
+    reports: Vec<(u64, Vec<Trial>, u64, u64)>,
+    critic: Critic,
+    /// Another voter's, which follows the log only.
+    standby: Critic,
+    levels: Levels,
+    reported_at: u64,
+    leads_from: u64,
+    core_cut_until: u64,
+    unsettled_at: u64,
+    dark_zone: Option<(u64, u64)>,
+    kind: Kind,
+    rate: f64,
+    next_id: u64,
+    ordered_at: u64,
+    term: u64,
+    /// Requests that reached the service, and the new version, from order to term.
+    all: u64,
+    new: u64,
+    bad_answers: u64,
+    fiftieth_at: Option<u64>,
+    late_sends: u64,
+    old_after_end: u64,
+    ended_at: u64,
+    refused: Option<String>,
+    version: u64,
+}
+
+impl Fleet {
+    fn new(seed: u64) -> Fleet {
+        let mut fleet = Fleet {
+            now: 10_000,
+            rng: SmallRng::seed_from_u64(seed),
+            nodes: Vec::new(),
+            workers: BTreeMap::new(),
+            log: vec![(0, Arc::new(Stage::default()))],
+            flights: Vec::new(),
+            reports: Vec::new(),
+            critic: Critic::default(),
+            standby: Critic::default(),
+            levels: Levels::default(),
+            reported_at: 0,
+            leads_from: 0,
+            core_cut_until: 0,
+            unsettled_at: 0,
+            dark_zone: None,
+            kind: Kind::Good,
+            rate: 500.0,
+            next_id: 0,
+            ordered_at: 0,
+            term: u64::MAX,
+            all: 0,
+            new: 0,
+            bad_answers: 0,
+            fiftieth_at: None,
+            late_sends: 0,
+            old_after_end: 0,
+            ended_at: 0,
+            refused: None,
+            version: 0,
+        };
+        fleet.configure();
+        fleet
+    }
+
+    fn stage(&self) -> Arc<Stage> {
+        self.log[self.log.len() - 1].1.clone()
+    }
+
+    fn change(&mut self, kind: ChangeKind) -> Outcome {
+        let mut stage = (*self.stage()).clone();
+        let outcome = stage.apply(stage.index + 1, &encode_change(kind));
+        self.log.push((self.now, Arc::new(stage)));
+        outcome
+    }
+
+    fn configure(&mut self) {
+        let base = self.version;
+        self.version += 1;
+        let body = CONFIG.replace("VERSION", &self.version.to_string()).into();
+        let order = ReplaceOrder {
+            base,
+            body,
+            ..Default::default()
+        };
+        assert_eq!(self.change(ChangeKind::Replace(order)), Outcome::Applied);
+    }
+
+    fn bounds() -> Bounds {
+        Bounds {
+            retry_ratio: 0.2,
+            retry_slack: 100.0,
+            exposure_share: SHARE,
+            exposure_slack: SLACK,
+            cold_excess: 1.5,
+            cold_slack: 8.0,
+            ..Default::default()
+        }
+    }
+
+    fn add_nodes(&mut self, count: u64) {
+        for i in 0..count {
+            let node = self.node(i % ZONES);
+            self.nodes.push(node);
+        }
+    }
+
+    fn node(&mut self, zone: u64) -> Node {
+        self.next_id += 1;
+        let zones = (0..ZONES).map(|z| (format!("z{z}"), "r".into())).collect();
+        let seed = self.rng.gen();
+        Node {
+            id: self.next_id,
+            zone,
+            usher: Usher::new(&format!("z{zone}"), zones, Self::bounds(), seed),
+            seen: 0,
+            lag_ms: self.rng.gen_range(0..250),
+            up_at: self.now,
+            cut_until: 0,
+        }
+    }
+
+    fn add_workers(&mut self, count: u64, new: bool) {
+        let mut put = Vec::new();
+        for i in 0..count {
+            let version = if new { "v2" } else { "v1" };
+            let id = format!("{version}-{i}");
+            let speed = [0.6, 1.0, 1.0, 1.4][(i / ZONES % 4) as usize];
+            put.push(Worker {
+                id: id.clone(),
+                service: "s".into(),
+                zone: format!("z{}", i % ZONES),
+                slots: 6,
+                version: version.into(),
+                ..Default::default()
+            });
+            let worker = StandIn {
+                zone: i % ZONES,
+                new,
+                started: self.now,
+                speed,
+                ..Default::default()
+            };
+            self.workers.insert(id, worker);
+        }
+        self.change(ChangeKind::Workers(WorkersChange {
+            put,
+            ..Default::default()
+        }));
+    }
+
+    fn begin(&mut self, target: &str, duration_ms: u64) {
+        let change = PreviewChange {
+            service: "s".into(),
+            action: Action::Create as i32,
+            who: "test".into(),
+            create: Some(Create {
+                target: target.into(),
+                duration_ms,
+            }),
+            showings: preview::showings(duration_ms, SHARE),
+            before: vec!["v1".into()],
+            ..Default::default()
+        };
+        match self.change(ChangeKind::Rollout(change)) {
+            Outcome::Refused(refusal) => self.refused = Some(format!("{refusal:?}")),
+            Outcome::Applied => {
+                self.ordered_at = self.now;
+                self.term = self.now + duration_ms;
+            }
+            _ => {}
+        }
+    }
+
+    fn say(&mut self, action: Action) {
+        let stage = self.stage();
+        let p = &stage.rollouts["s"];
+        let change = PreviewChange {
+            service: "s".into(),
+            action: action as i32,
+            expected: p.version,
+            who: "test".into(),
+            elapsed_ms: self.critic.elapsed(self.now, p),
+            ..Default::default()
+        };
+        let facts = self.facts(&stage);
+        if action == Action::Promote && Critic::gate(self.now, &facts).is_err() {
+            self.refused = Some("gate".into());
+            return;
+        }
+        if let Outcome::Refused(refusal) = self.change(ChangeKind::Rollout(change)) {
+            self.refused = Some(format!("{refusal:?}"));
+        }
+    }
+
+    fn facts(&mut self, stage: &Stage) -> Facts {
+        let able = |w: &&Arc<Worker>| !stage.evacuated.contains_key(&w.zone);
+        let p = stage.rollouts.get("s");
+        let of = |side: Side| {
+            let workers = stage.workers.values().filter(able);
+            workers
+                .filter(|w| p.is_some_and(|p| p.side(&w.version) == side))
+                .count()
+        };
+        let newest = self.log.len() - 1;
+        let behind = |n: &Node| n.up_at <= self.now && n.cut_until <= self.now && n.seen < newest;
+        Facts {
+            ready: of(Side::New),
+            old: of(Side::Old),
+            behind: self.nodes.iter().any(behind),
+            keys_left: false,
+            reported_at: self.reported_at,
+            level: self.levels.clone().look(),
+            kill_switch: stage.kill_switch.as_ref().is_some_and(|k| k.on),
+        }
+    }
+
+    fn lead(&mut self) {
+        let now = self.now;
+        let stage = self.stage();
+        self.critic.follow(now, &stage.rollouts);
+        self.standby.follow(now, &stage.rollouts);
+        if now < self.leads_from || now < self.core_cut_until {
+            self.unsettled_at = now;
+            return;
+        }
+        let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.reports)
+            .into_iter()
+            .partition(|r| r.0 <= now);
+        self.reports = rest;
+        for (_, trials, served, failed) in due {
+            self.reported_at = now;
+            self.levels.take(served, failed);
+            self.critic.take(&trials, short);
+        }
+        if now % 260 >= STEP {
+            return;
+        }
+        let level = self.levels.look();
+        for p in stage.rollouts.values().filter(|p| p.is_active()) {
+            let facts = Facts {
+                level,
+                ..self.facts(&stage)
+            };
+            if let Some(change) = self.critic.decide(now, p, &facts) {
+                println!("  {} {}", now - self.ordered_at, change.why);
+                self.change(ChangeKind::Rollout(change));
+            }
+        }
+        let ended = |p: &Arc<preview::Preview>| p.state_now() == State::Completed;
+        if self.ended_at == 0 && self.stage().rollouts.values().any(ended) {
+            self.ended_at = now;
+        }
+    }
+
+    fn step(&mut self) {
+        self.now += STEP;
+        let now = self.now;
+        let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.flights)
+            .into_iter()
+            .partition(|f| f.at <= now);
+        self.flights = rest;
+        for f in due {
+            let worker = self.workers.get_mut(&f.worker);
+            let new = worker.as_ref().is_some_and(|w| w.new);
+            if let Some(w) = worker {
+                w.inflight = w.inflight.saturating_sub(1);
+            }
+            let bad = matches!(f.end, Observed::Erred(_) | Observed::Answered(900.0..));
+            if new && bad && self.kind != Kind::Good {
+                self.bad_answers += 1;
+                if self.bad_answers == 50 {
+                    self.fiftieth_at = Some(now);
+                }
+            }
+            let node = &mut self.nodes[f.node];
+            if node.id == f.life {
+                if let Some(ticket) = &f.ticket {
+                    node.usher.observe_trial(ticket, f.end);
+                }
+                node.usher.observe(now, &f.worker, f.end);
+            }
+        }
+        for i in 0..self.nodes.len() {
+            self.serve(i);
+        }
+        if now % 500 < STEP {
+            for i in 0..self.nodes.len() {
+                let delay = self.rng.gen_range(100..700);
+                let node = &mut self.nodes[i];
+                let trials = node.usher.take_trials();
+                let sums = node
+                    .usher
+                    .take_observed()
+                    .iter()
+                    .filter(|(id, ..)| id.starts_with("v1"))
+                    .fold((0, 0), |sum, (_, _, served, failed)| {
+                        (sum.0 + served, sum.1 + failed)
+                    });
+                if node.up_at <= now && node.cut_until <= now && now >= self.core_cut_until {
+                    self.reports.push((now + delay, trials, sums.0, sums.1));
+                }
+            }
+        }
+        self.lead();
+    }
+
+    fn serve(&mut self, i: usize) {
+        let now = self.now;
+        let count = self.nodes.len();
+        let node = &mut self.nodes[i];
+        if node.up_at > now {
+            return;
+        }
+        let hears = node.cut_until <= now && now >= self.core_cut_until;
+        if hears {
+            node.usher.set_contact(now);
+            let newest = self.log.partition_point(|(at, _)| at + node.lag_ms <= now).max(1) - 1;
+            if node.seen < newest {
+                node.seen = newest;
+                node.usher.set_stage(now, self.log[newest].1.clone());
+            }
+        }
+        node.usher.set_neighbours(Neighbours {
+            place: Place {
+                edges: count,
+                number: i,
+                in_zone: count / ZONES as usize,
+                number_in_zone: i / ZONES as usize,
+            },
+            me: node.id,
+            rtt: BTreeMap::new(),
+        });
+        let Some(config) = self.log[node.seen].1.config.clone() else {
+            return;
+        };
+        let chance = self.rate * STEP as f64 / 1000.0 / count as f64;
+        if !self.rng.gen_bool(chance.min(1.0)) {
+            return;
+        }
+        let path = if self.rng.gen_bool(0.25) { "/b/" } else { "/a/" };
+        let Some(route) = config.route("h", path) else {
+            return;
+        };
+        let mut tried: Vec<String> = Vec::new();
+        for _ in 0..2 {
+            let ask = Request {
+                route,
+                key: None,
+                service: "s",
+                tried: &tried,
+                left_ms: 4000,
+                zone: None,
+            };
+            let node = &mut self.nodes[i];
+            let Found::Worker(found) = node.usher.choose(now, &ask) else {
+                return;
+            };
+            let in_term = now >= self.ordered_at && now < self.term && self.ordered_at > 0;
+            let in_touch = hears && now > self.unsettled_at + 4000;
+            let Some(w) = self.workers.get_mut(&found.id) else {
+                return;
+            };
+            self.all += u64::from(in_term && tried.is_empty());
+            if w.new {
+                self.new += u64::from(in_term);
+                let over = self.fiftieth_at.is_some_and(|at| now > at + ROLLBACK_MS);
+                self.late_sends += u64::from(over && in_touch);
+            } else if self.ended_at > 0 && hears && now > self.ended_at + 300 {
+                self.old_after_end += 1;
+            }
+            w.inflight += 1;
+            let dark = self
+                .dark_zone
+                .is_some_and(|(zone, until)| w.zone == zone && now < until);
+            let load = f64::from(w.inflight) / 6.0;
+            let mut ms = 200.0 * self.rng.gen_range(0.6..1.6) / w.speed * (1.0 + (load - 1.0).max(0.0));
+            let strikes = w.new
+                && match self.kind {
+                    Kind::Good => false,
+                    Kind::Errors | Kind::Slow => true,
+                    Kind::Late(after) => now > w.started + after,
+                    Kind::UnderLoad => w.inflight >= 2,
+                    Kind::OneRoute => path == "/b/",
+                };
+            let mut end = None;
+            if strikes && self.rng.gen_bool(0.5) {
+                if self.kind == Kind::Slow {
+                    ms *= 8.0;
+                } else {
+                    end = Some(Observed::Erred(ms));
+                }
+            }
+            if dark {
+                end = Some(Observed::Failed);
+                ms = 300.0;
+            }
+            self.flights.push(Flight {
+                at: now + ms as u64,
+                node: i,
+                life: self.nodes[i].id,
+                worker: found.id.clone(),
+                ticket: found.ticket,
+                end: end.unwrap_or(Observed::Answered(ms)),
+            });
+            // What failed is tried once more, on the old version.
+            if end.is_none() {
+                return;
+            }
+            tried.push(found.id);
+        }
+    }
+
+    fn run(&mut self, ms: u64) {
+        for _ in 0..ms / STEP {
+            self.step();
+        }
+    }
+
+    /// What must hold whatever happened.
+    fn check(&self) {
+        if self.kind != Kind::Good {
+            let most = SHARE * self.all as f64 + SLACK;
+            let new = self.new as f64;
+            assert!(new <= most, "{new} of {} requests, {most:.0} allowed", self.all);
+        }
+        assert_eq!(
+            self.late_sends, 0,
+            "sent to a bad version after the rollback's time"
+        );
+        assert_eq!(self.old_after_end, 0, "sent to the old version after its end");
+        let stage = self.stage();
+        let again = Stage::from_image(stage.image()).expect("readable");
+        assert_eq!(again.rollouts, stage.rollouts, "it survives in a snapshot");
+    }
+}
+
+fn number<T: std::str::FromStr>(word: Option<&&str>) -> T {
+    word.and_then(|w| w.parse().ok()).expect("a number")
+}
+
+fn play(text: &str, seed: u64) {
+    let mut fleet = Fleet::new(seed);
+    let mut workers = 30;
+    for line in text.lines() {
+        let line = line.split('#').next().unwrap_or("").trim();
+        let words: Vec<&str> = line.split_whitespace().collect();
+        let Some((step, rest)) = words.split_first() else {
+            continue;
+        };
+        match *step {
+            "nodes" | "add" => fleet.add_nodes(number(rest.first())),
+            "workers" => {
+                workers = number(rest.first());
+                fleet.add_workers(workers, false);
+            }
+            "rate" => fleet.rate = number(rest.first()),
+            "new" => {
+                fleet.kind = match rest[0] {
+                    "good" => Kind::Good,
+                    "errors" => Kind::Errors,
+                    "slow" => Kind::Slow,
+                    "late" => Kind::Late(number(rest.get(1))),
+                    "under-load" => Kind::UnderLoad,
+                    "one-route" => Kind::OneRoute,
+                    other => panic!("no such kind: {other}"),
+                }
+            }
+            "begin" => {
+                fleet.begin("v2", number(rest.first()));
+                fleet.run(600);
+                fleet.add_workers(workers, true);
+            }
+            "again" => fleet.begin("v2", number(rest.first())),
+            "begin-other" => fleet.begin("v3", number(rest.first())),
+            "run" => fleet.run(number(rest.first())),
+            "lead" => {
+                fleet.leads_from = fleet.now + 900;
+                fleet.critic = std::mem::take(&mut fleet.standby);
+                fleet.levels = Levels::default();
+                fleet.reported_at = 0;
+            }
+            "core-cut" => fleet.core_cut_until = fleet.now + number::<u64>(rest.first()),
+            "cut" => {
+                let (part, until) = (number(rest.first()), fleet.now + number::<u64>(rest.get(1)));
+                for i in 0..fleet.nodes.len() {
+                    if fleet.rng.gen_bool(part) {
+                        fleet.nodes[i].cut_until = until;
+                    }
+                }
+            }
+            "herd" => {
+                let (part, dark) = (number(rest.first()), number::<u64>(rest.get(1)));
+                for i in 0..fleet.nodes.len() {
+                    if fleet.rng.gen_bool(part) {
+                        let zone = fleet.nodes[i].zone;
+                        fleet.nodes[i] = fleet.node(zone);
+                        fleet.nodes[i].up_at = fleet.now + dark;
+                    }
+                }
+            }
+            "region-loss" => fleet.dark_zone = Some((1, fleet.now + number::<u64>(rest.first()))),
+            "storm" => {
+                for _ in 0..number::<u64>(rest.first()) {
+                    fleet.configure();
+                    fleet.run(60);
+                }
+            }
+            "evacuate" | "finish" => {
+                let change = EvacuationChange {
+                    zone: rest[0].into(),
+                    begin: *step == "evacuate",
+                };
+                fleet.change(ChangeKind::Evacuate(change));
+            }
+            "kill-switch" => {
+                let switch = KillSwitch {
+                    on: rest[0] == "on",
+                    ..Default::default()
+                };
+                fleet.change(ChangeKind::KillSwitch(switch));
+            }
+            "say" => fleet.say(Action::from_name(rest[0]).expect("an action")),
+            "expect" => {
+                let stage = fleet.stage();
+                let p = stage.rollouts.get("s");
+                let got = match rest[0] {
+                    "refused" => {
+                        assert!(fleet.refused.take().is_some(), "`{line}`: it was not refused");
+                        continue;
+                    }
+                    "phase" => p.map_or("", |p| p.state_now().name()),
+                    _ => p.map_or("", |p| p.state_now().on_the_wire()),
+                };
+                let elapsed = fleet.now - fleet.ordered_at;
+                assert_eq!(Some(&got), rest.last(), "`{line}` at {elapsed}, level {:?}", {
+                    let level: Level = fleet.levels.clone().look();
+                    level
+                });
+            }
+            other => panic!("no such step: {other}"),
+        }
+    }
+    fleet.check();
+}
+
+#[test]
+fn every_rollout() {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("previews");
+    let mut files: Vec<_> = std::fs::read_dir(folder)
+        .expect("the folder is there")
+        .flatten()
+        .map(|e| e.path())
+        .collect();
+    files.sort();
+    assert!(files.len() >= 10, "scenarios are missing");
+    for file in files {
+        let text = std::fs::read_to_string(&file).expect("readable");
+        for seed in 1..=3 {
+            println!("{} seed {seed}", file.display());
+            play(&text, seed);
+        }
+    }
+}
--- a/crates/understudy/src/lib.rs
+++ b/crates/understudy/src/lib.rs
@@ -6,7 +6,7 @@
 use prost::Message;
 
 /// Ranges that hold one table each: configuration, evacuations, fractions,
-/// allowances.
+/// allowances with all that is small.
 const TABLES: usize = 4;
 /// Ranges over which the workers are spread, and the same for the holdings.
 const SPREAD: usize = 6;
@@ -55,6 +55,8 @@
         part.slack = image.slack;
         part.benched = image.benched.clone();
         part.casts = image.casts.clone();
+        part.rollouts = image.rollouts.clone();
+        part.kill_switch = image.kill_switch.clone();
     }
     part.workers = image
         .workers
@@ -137,6 +139,8 @@
         image.slack = newer.slack;
         image.benched = newer.benched.clone();
         image.casts = newer.casts.clone();
+        image.rollouts = newer.rollouts.clone();
+        image.kill_switch = newer.kill_switch.clone();
     }
     image.workers.extend(newer.workers.iter().cloned());
     image.holdings.extend(newer.holdings.iter().cloned());
--- a/crates/usher/src/lib.rs
+++ b/crates/usher/src/lib.rs
@@ -5,7 +5,9 @@
 mod budget;
 mod pool;
 mod seats;
+mod trial;
 
 pub use budget::Budget;
 pub use pool::{Place, Pool};
 pub use seats::{Choice, Found, Neighbours, Observed, Request, Usher};
+pub use trial::Ticket;
--- a/crates/usher/src/seats.rs
+++ b/crates/usher/src/seats.rs
@@ -1,10 +1,12 @@
 use crate::budget::Budget;
 use crate::pool::{Place, Pool};
+use crate::trial::{Ledger, Ticket, Trials};
 use playbill::config::{cold_bound, Route, RouteKind};
 use playbill::constants as c;
-use playbill::letters::Worker;
+use playbill::letters::{short, Worker};
 use playbill::settings::Bounds;
 use playbill::Stage;
+use preview::{Side, Trial};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::{BTreeMap, HashMap, VecDeque};
@@ -42,6 +44,8 @@
     pub address: String,
     pub region: String,
     pub rtt_ms: f64,
+    /// What the try counts for, if its service is being rolled out.
+    pub ticket: Option<Ticket>,
 }
 
 #[derive(Clone, Debug, PartialEq)]
@@ -165,7 +169,12 @@
     seats: HashMap<String, Seat>,
     by_service: HashMap<String, Vec<String>>,
     /// Which workers of a service this node uses; made when first needed.
-    pools: HashMap<String, Rc<Pool>>,
+    pools: HashMap<(String, Side), Rc<Pool>>,
+    /// Requests of the services that are being rolled out.
+    ledgers: HashMap<String, Ledger>,
+    trials: Trials,
+    /// When the core was last heard; `None` where that plays no part.
+    contact: Option<u64>,
     budgets: HashMap<String, Budget>,
     rng: SmallRng,
     /// When this life first saw the control state.
@@ -201,6 +210,9 @@
             seats: HashMap::new(),
             by_service: HashMap::new(),
             pools: HashMap::new(),
+            ledgers: HashMap::new(),
+            trials: Trials::default(),
+            contact: None,
             budgets: HashMap::new(),
             rng: SmallRng::seed_from_u64(seed),
             born: None,
@@ -223,7 +235,7 @@
             (Some(a), Some(b)) => Arc::ptr_eq(a, b),
             (a, b) => a.is_none() && b.is_none(),
         };
-        if !same_config {
+        if !same_config || !Arc::ptr_eq(&before.rollouts, &stage.rollouts) {
             self.pools.clear();
         }
         let mut gone = Vec::new();
@@ -306,18 +318,29 @@
         gone
     }
 
-    /// The workers of a service that this node uses.
-    fn pool(&mut self, service: &str) -> Option<Rc<Pool>> {
-        if let Some(pool) = self.pools.get(service) {
+    /// The core was last heard then: a node that has lost it restores the split
+    /// from before a rollout by itself.
+    pub fn set_contact(&mut self, at: u64) {
+        self.contact = Some(at);
+    }
+
+    /// The workers of one side of a service that this node uses.
+    fn pool(&mut self, service: &str, side: Side) -> Option<Rc<Pool>> {
+        let key = (service.to_string(), side);
+        if let Some(pool) = self.pools.get(&key) {
             return Some(pool.clone());
         }
         let known = self.stage.config.as_ref()?.services.get(service)?;
-        let workers: Vec<Arc<Worker>> = self
-            .by_service
-            .get(service)?
-            .iter()
-            .filter_map(|id| self.seats.get(id).map(|s| s.worker.clone()))
-            .collect();
+        let of = self.by_service.get(service)?.iter();
+        let all = of.filter_map(|id| self.seats.get(id).map(|s| s.worker.clone()));
+        let workers: Vec<Arc<Worker>> = if side == Side::New {
+            let mut trial: Vec<_> = self.stage.on_trial(service).into_iter().cloned().collect();
+            trial.sort_by(|a, b| a.id.cmp(&b.id));
+            trial
+        } else {
+            all.filter(|w| known.partitioned || self.stage.side(w) == side)
+                .collect()
+        };
         let pool = Rc::new(Pool::new(
             &workers,
             &self.zone,
@@ -325,7 +348,7 @@
             known.partitioned,
             self.neighbours.place,
         ));
-        self.pools.insert(service.to_string(), pool.clone());
+        self.pools.insert(key, pool.clone());
         Some(pool)
     }
 
@@ -367,7 +390,8 @@
                 .or_default()
                 .first_try(now, window);
         }
-        let found = match self.candidate(now, request) {
+        let side = self.side_for(now, request);
+        let found = match self.candidate(now, request, side) {
             Some(id) => id,
             None => return Found::Nobody(self.come_back(now, request)),
         };
@@ -381,6 +405,7 @@
             }
         }
         let rtt = self.rtt(&found);
+        let ticket = self.ticket(now, request, &found);
         let Some(seat) = self.seats.get_mut(&found) else {
             return Found::Nobody(c::RETRY_AFTER_MS);
         };
@@ -396,6 +421,54 @@
             address: seat.worker.address.clone(),
             region: seat.region.clone(),
             rtt_ms: rtt,
+            ticket,
+        })
+    }
+
+    /// Which side of its service a request goes to. Only a first try goes to a new
+    /// version. While a stage lies within what a bad version may get, this node
+    /// sends it no more than that part of what it has had itself: the sum over
+    /// all nodes is within it, whatever each of them has seen.
+    fn side_for(&mut self, now: u64, request: &Request) -> Side {
+        let rollout = self.stage.rollouts.get(request.service);
+        let Some(p) = rollout.filter(|p| p.is_active()).cloned() else {
+            return Side::Old;
+        };
+        if !request.tried.is_empty() {
+            return Side::Old;
+        }
+        let lost = self.contact.is_some_and(|at| now > at + preview::FALLBACK_MS);
+        let share = if lost { 0.0 } else { p.share() };
+        let drawn = share > 0.0 && (share >= 1.0 || self.rng.gen::<f64>() < share);
+        let most = self.bounds.exposure_share;
+        let bound = (share <= most).then_some(most);
+        let ledger = self.ledgers.entry(request.service.to_string()).or_default();
+        ledger.first_try(p.ordered);
+        if request.key.is_none() && drawn && ledger.may_try_new(bound) {
+            Side::New
+        } else {
+            Side::Old
+        }
+    }
+
+    /// What a try counts for. Cold workers say nothing about their version.
+    fn ticket(&mut self, now: u64, request: &Request, id: &str) -> Option<Ticket> {
+        let p = self.stage.rollouts.get(request.service)?;
+        let seat = self.seats.get(id)?;
+        let side = p.side(&seat.worker.version);
+        if !p.is_active() {
+            return None;
+        }
+        if side == Side::New {
+            if let Some(ledger) = self.ledgers.get_mut(request.service) {
+                ledger.tried_new();
+            }
+        }
+        (!seat.is_cold(now)).then(|| Ticket {
+            service: short(request.service),
+            route: short(&request.route.name),
+            new: side == Side::New,
+            ordered: p.ordered,
         })
     }
 
@@ -453,14 +526,26 @@
             && seat.inflight < each
     }
 
-    fn candidate(&mut self, now: u64, request: &Request) -> Option<String> {
-        let pool = self.pool(request.service)?;
+    fn candidate(&mut self, now: u64, request: &Request, side: Side) -> Option<String> {
+        if side == Side::New {
+            if let Some(id) = self.best_of(now, request, Side::New) {
+                return Some(id);
+            }
+        }
+        self.best_of(now, request, Side::Old)
+    }
+
+    fn best_of(&mut self, now: u64, request: &Request, side: Side) -> Option<String> {
+        let pool = self.pool(request.service, side)?;
         if let Some(key) = request.key {
             let holding = self.stage.holding(request.service, key)?;
             if holding.leaving || holding.worker.is_empty() {
                 return None;
             }
             let seat = self.seats.get(&holding.worker)?;
+            if self.stage.side(&seat.worker) == Side::Neither {
+                return None;
+            }
             let each = pool.members.first().map_or(1, |(_, each)| *each);
             let free =
                 (now >= seat.left_alone_until || seat.inflight == 0) && !self.hopeless(seat, request, &pool);
@@ -554,6 +639,19 @@
         soonest.unwrap_or(c::RETRY_AFTER_MS).clamp(50, c::RETRY_AFTER_MS)
     }
 
+    /// What was counted of services that are being rolled out, since the last call.
+    pub fn take_trials(&mut self) -> Vec<Trial> {
+        self.trials.take()
+    }
+
+    /// Takes note of how a try ended that counts for a rollout.
+    pub fn observe_trial(&mut self, ticket: &Ticket, observed: Observed) {
+        let going = |p: &Arc<preview::Preview>| p.is_active() && p.ordered == ticket.ordered;
+        if self.stage.rollouts.values().any(going) {
+            self.trials.note(ticket, observed);
+        }
+    }
+
     /// Takes note of how a try ended.
     pub fn observe(&mut self, now: u64, id: &str, observed: Observed) {
         let Some(seat) = self.seats.get_mut(id) else {
--- a/crates/wardrobe/src/lib.rs
+++ b/crates/wardrobe/src/lib.rs
@@ -242,6 +242,7 @@
                 || worker.draining
                 || stage.evacuated.contains_key(&worker.zone)
                 || stage.benched.contains(&worker.id)
+                || !stage.may_hold(worker)
                 || track.failures >= c::GRANT_FAILURES;
             if track.busy || now < if must_leave { track.retry_at } else { track.next_at } {
                 continue;
--- a/crates/wardrobe/src/plan.rs
+++ b/crates/wardrobe/src/plan.rs
@@ -40,6 +40,7 @@
             .values()
             .map(|w| &**w)
             .filter(|w| w.service == service && !w.draining && !self.stage.evacuated.contains_key(&w.zone))
+            .filter(|w| self.stage.may_hold(w))
             .collect();
         let fit = |w: &&Worker| !(self.cold)(&w.id) && !self.stage.benched.contains(&w.id);
         let warm: Vec<&Worker> = able.iter().copied().filter(fit).collect();
