--- a/crates/boxoffice/src/bench.rs
+++ b/crates/boxoffice/src/bench.rs
@@ -3,7 +3,7 @@
 //! them all. Health answers play no part: what requests show outweighs them.
 
 use playbill::constants as c;
-use playbill::letters::{short, Capacity};
+use playbill::letters::{short, Capacity, Worker};
 use playbill::Stage;
 use preview::Side;
 use std::collections::{BTreeMap, BTreeSet};
@@ -82,9 +82,14 @@
             }
         }
         let mut on: BTreeSet<String> = BTreeSet::new();
-        let services: BTreeSet<&str> = stage.workers.values().map(|w| w.service.as_str()).collect();
-        for service in services {
-            self.judge(now, stage, service, &mut on);
+        let mut services: BTreeMap<&str, Vec<&str>> = BTreeMap::new();
+        // A version on trial is judged as a whole.
+        let able = |w: &&Worker| !w.draining && stage.side(w) == Side::Old;
+        for w in stage.workers.values().map(|w| &**w).filter(able) {
+            services.entry(&w.service).or_default().push(&w.id);
+        }
+        for (service, workers) in services {
+            self.judge(now, stage, service, &workers, &mut on);
         }
         for o in self.outcomes.values_mut() {
             o.served *= c::BENCH_KEEP;
@@ -97,15 +102,8 @@
         on
     }
 
-    fn judge(&mut self, now: u64, stage: &Stage, service: &str, on: &mut BTreeSet<String>) {
-        let workers: Vec<&str> = stage
-            .workers
-            .values()
-            .filter(|w| w.service == service && !w.draining)
-            // A version on trial is judged as a whole.
-            .filter(|w| stage.side(w) == Side::Old)
-            .map(|w| w.id.as_str())
-            .collect();
+    /// Judges the workers of a service against each other.
+    fn judge(&mut self, now: u64, stage: &Stage, service: &str, workers: &[&str], on: &mut BTreeSet<String>) {
         let known: Vec<(&str, Outcomes)> = workers
             .iter()
             .filter_map(|id| Some((*id, *self.outcomes.get(&short(id))?)))
@@ -160,7 +158,7 @@
 #[cfg(test)]
 mod tests {
     use super::*;
-    use playbill::letters::{ChangeKind, Worker, WorkersChange};
+    use playbill::letters::{ChangeKind, WorkersChange};
     use playbill::stage::encode_change;
     use std::sync::Arc;
 
--- /dev/null
+++ b/crates/rehearsal/examples/capacity.rs
@@ -0,0 +1,479 @@
+//! Measures how what each role costs grows, on real state machines and a simulated
+//! transport, all in this one process:
+//!
+//! ```text
+//! cargo run --release -p rehearsal --example capacity
+//! ```
+//!
+//! Each row is measured at several sizes; `power` is the exponent of a power law
+//! through them, `target` the line from the two largest sizes carried on to the
+//! target size. Processor time is that of this thread. Ends by itself in about two
+//! minutes and a few hundred megabytes.
+
+use boxoffice::{Bench, Caller, Casting, Scene};
+use callboard::{Board, Member, Notice, Timing};
+use playbill::config::RouteKind;
+use playbill::constants as c;
+use playbill::letters::*;
+use playbill::settings::Bounds;
+use playbill::stage::{encode_change, KEYS};
+use playbill::{Configuration, Stage};
+use prost::Message as _;
+use rehearsal::world::World;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use usher::{Neighbours, Observed, Place, Request, Usher};
+use wardrobe::{Act, Granted, Wardrobe};
+
+const NODES: f64 = 6900.0;
+const WORKERS: f64 = 51_000.0;
+const ROUTES: f64 = 81_000.0;
+
+/// Processor time of this thread, ns.
+fn spent() -> u64 {
+    let text = std::fs::read_to_string("/proc/thread-self/schedstat").unwrap_or_default();
+    let first = text.split_whitespace().next();
+    first.and_then(|t| t.parse().ok()).unwrap_or(0)
+}
+
+/// Microseconds of processor time for one call, the mean over a quarter of a second:
+/// that time is told in steps of some milliseconds.
+fn micros(mut work: impl FnMut()) -> f64 {
+    work();
+    let (before, mut times) = (spent(), 0u64);
+    while spent() - before < 250_000_000 {
+        for _ in 0..8 {
+            work();
+        }
+        times += 8;
+    }
+    (spent() - before) as f64 / 1000.0 / times as f64
+}
+
+/// Resident memory, KB.
+fn resident() -> f64 {
+    let text = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
+    let line = text.lines().find(|l| l.starts_with("VmRSS"));
+    let word = line.and_then(|l| l.split_whitespace().nth(1));
+    word.and_then(|w| w.parse().ok()).unwrap_or(0.0)
+}
+
+/// Memory of a control state, in a process of its own, KB.
+fn apart(workers: usize) -> f64 {
+    let run = |workers: usize| {
+        let exe = std::env::current_exe().expect("this program");
+        let out = std::process::Command::new(exe).arg(workers.to_string()).output();
+        let text = String::from_utf8(out.expect("it runs").stdout).expect("a number");
+        text.trim().parse::<f64>().expect("a number")
+    };
+    run(workers) - run(30)
+}
+
+/// Sizes and what was measured there.
+type Points = Vec<(f64, f64)>;
+
+fn row(name: &str, unit: &str, target: f64, points: &[(f64, f64)]) {
+    let n = points.len() as f64;
+    let logs: Vec<(f64, f64)> = points.iter().map(|(x, y)| (x.ln(), y.max(1e-9).ln())).collect();
+    let (sx, sy) = logs.iter().fold((0.0, 0.0), |s, (x, y)| (s.0 + x, s.1 + y));
+    let (mx, my) = (sx / n, sy / n);
+    let num: f64 = logs.iter().map(|(x, y)| (x - mx) * (y - my)).sum();
+    let den: f64 = logs.iter().map(|(x, _)| (x - mx) * (x - mx)).sum();
+    let (a, b) = (points[points.len() - 2], points[points.len() - 1]);
+    let line = b.1 + (b.1 - a.1) / (b.0 - a.0) * (target - b.0);
+    let power = b.1 * (target / b.0).powf(num / den);
+    let seen: Vec<String> = points.iter().map(|(x, y)| format!("{x:.0}: {y:.1}")).collect();
+    println!(
+        "| {name} | {unit} | {} | {:.2} | {target:.0}: {line:.0} by the line, {power:.0} by the power |",
+        seen.join(", "),
+        num / den
+    );
+}
+
+const TIMING: Timing = Timing {
+    probe_every: c::PROBE_EVERY_MS,
+    probe_wait: c::PROBE_WAIT_MS,
+    probe_limit: c::PROBE_LIMIT_MS,
+    helpers: c::PROBE_HELPERS,
+    suspect: c::SUSPECT_MS,
+    forget: c::FORGET_MS,
+    gossip_times: c::GOSSIP_TIMES,
+    gossip_members: c::GOSSIP_MEMBERS,
+    join_every: c::JOIN_EVERY_MS,
+    rejoin_every: c::REJOIN_EVERY_MS,
+    exchange_every: c::EXCHANGE_EVERY_MS,
+};
+
+/// Bytes a second and processor time of a node's membership: at the start, calm,
+/// and with a restart every two seconds.
+fn membership() {
+    let (mut start, mut calm, mut churn, mut cpu, mut memory) = (vec![], vec![], vec![], vec![], vec![]);
+    for nodes in [75usize, 150, 300, 600] {
+        let before = resident();
+        let name = |i: usize| format!("10.{}.{}.{}:7540", i / 4096, i / 64 % 64, i % 64);
+        let board = |i: usize, now: u64| {
+            let me = Member {
+                address: name(i),
+                id: i as u64 + 1,
+                incarnation: now + 1,
+                name: format!("edge-zone-a-{i}"),
+                zone: format!("zone-{}", i % 37),
+                region: format!("region-{}", i % 16),
+                front: name(i),
+                disk: i < 9,
+                ..Default::default()
+            };
+            Board::new(me, (0..3).map(name).collect(), TIMING, now, i as u64)
+        };
+        let mut boards: BTreeMap<String, Board> = (0..nodes).map(|i| (name(i), board(i, 0))).collect();
+        let mut flights: Vec<(u64, String, String, Notice)> = Vec::new();
+        let mut lost = 0u64;
+        let mut run = |from: u64, to: u64, restarts: bool| {
+            let (mut bytes, mut took) = (0usize, 0u64);
+            for now in (from..to).step_by(50) {
+                if restarts && now % 2000 == 0 {
+                    let i = (now / 2000) as usize * 7 % nodes;
+                    boards.insert(name(i), board(i, now));
+                }
+                let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut flights)
+                    .into_iter()
+                    .partition(|(at, ..)| *at <= now);
+                flights = rest;
+                let begun = spent();
+                for (_, from, to, notice) in due {
+                    if let Some(b) = boards.get_mut(&to) {
+                        b.receive(now, &from, notice);
+                    }
+                }
+                let mut out = Vec::new();
+                for (name, b) in &mut boards {
+                    b.tick(now);
+                    out.extend(b.take_out().into_iter().map(|(to, n)| (name.clone(), to, n)));
+                }
+                took += spent() - begun;
+                for (from, to, notice) in out {
+                    bytes += notice.encoded_len() + 28;
+                    lost += 1;
+                    if !lost.is_multiple_of(100) {
+                        flights.push((now + 40, from, to, notice));
+                    }
+                }
+            }
+            let span = (to - from) as f64 / 1000.0 * nodes as f64;
+            (bytes as f64 / span, took as f64 / 1000.0 / span)
+        };
+        let size = nodes as f64;
+        start.push((size, run(0, 5000, false).0));
+        run(5000, 15_000, false);
+        let (bytes, took) = run(15_000, 25_000, false);
+        calm.push((size, bytes));
+        cpu.push((size, took));
+        churn.push((size, run(25_000, 35_000, true).0));
+        memory.push((size, (resident() - before).max(0.0) / size));
+    }
+    row("membership, all start at once", "B/s a node", NODES, &start);
+    row("membership, calm, 1% lost", "B/s a node", NODES, &calm);
+    row("membership, a restart every 2 s", "B/s a node", NODES, &churn);
+    row("membership, calm", "us/s a node", NODES, &cpu);
+    row("membership, table", "KB a node", NODES, &memory);
+}
+
+fn worker(i: usize, services: usize) -> Worker {
+    Worker {
+        id: format!("i-{i:010x}"),
+        service: format!("service-{}", i % services),
+        address: format!("10.{}.{}.{}:8080", i / 65_536, i / 256 % 256, i % 256),
+        zone: format!("zone-{}", i / services % 37),
+        slots: 6,
+        version: "v1".into(),
+        ..Default::default()
+    }
+}
+
+/// A control state of so many workers, with the routes and holders that go with
+/// them at the target.
+fn state(workers: usize) -> Stage {
+    let services = (workers / 27).max(1);
+    let routes = (workers as f64 * ROUTES / WORKERS) as usize;
+    let groups: Vec<String> = (0..services)
+        .map(|s| {
+            format!(
+                r#"{{"Name":"service-{s}","ConnectionLimit":500,"ColdPeriod":"3s","ColdRateS":6.0,"Partitioned":{}}}"#,
+                s % 3 == 0
+            )
+        })
+        .collect();
+    let points: Vec<String> = (0..routes)
+        .map(|r| {
+            let s = r % services;
+            format!(r#"{{"Host":"h{r}.example","Rules":[{{"Name":"r{r}","RouteType":"idempotent","Target":"800ms","Condition":{{"PathPrefix":"/a{r}/"}},"Treatment":{{"Service":"service-{s}","Timeout":"2s","AttemptLimit":2}}}}]}}"#)
+        })
+        .collect();
+    let body = format!(
+        r#"{{"Version":1,"Limits":{{"HeaderMaxBytes":1,"BodyMaxBytes":1,"HeaderTimeout":"1s","IdleTimeout":"1s"}},"AccessPoints":[{}],"Groups":[{}]}}"#,
+        points.join(","),
+        groups.join(",")
+    );
+    let mut stage = Stage::default();
+    let mut change = |kind| {
+        let index = stage.index + 1;
+        stage.apply(index, &encode_change(kind));
+    };
+    change(ChangeKind::Replace(ReplaceOrder {
+        body: body.into_bytes(),
+        ..Default::default()
+    }));
+    change(ChangeKind::Workers(WorkersChange {
+        put: (0..workers).map(|i| worker(i, services)).collect(),
+        ..Default::default()
+    }));
+    let mut put = Vec::new();
+    let mut fence = 0;
+    for s in (0..services).step_by(3) {
+        let held: Vec<usize> = (0..workers).filter(|i| i % services == s).collect();
+        let each = KEYS / held.len() as u32;
+        for (n, i) in held.iter().enumerate() {
+            fence += 1;
+            let from = n as u32 * each;
+            put.push(Holding {
+                service: format!("service-{s}"),
+                from,
+                to: if n + 1 == held.len() {
+                    KEYS - 1
+                } else {
+                    from + each - 1
+                },
+                worker: worker(*i, services).id,
+                fence,
+                ..Default::default()
+            });
+        }
+    }
+    change(ChangeKind::Keys(KeysChange { put }));
+    stage
+}
+
+/// What the copy of the control state costs each node, and the leader's duties.
+fn control() {
+    let mut rows: BTreeMap<&str, (&str, Points)> = BTreeMap::new();
+    for workers in [500usize, 1000, 2000, 4000, 8000] {
+        let size = workers as f64;
+        let mut note = |name, unit, value| rows.entry(name).or_insert((unit, vec![])).1.push((size, value));
+        note("copy of the control state", "KB a node", apart(workers));
+        let stage = state(workers);
+        note("copy, packed", "KB", stage.to_snapshot().len() as f64 / 1024.0);
+        let services = (workers / 27).max(1);
+        let row = |i: usize, draining| Worker {
+            draining,
+            ..worker(i, services)
+        };
+        let mut held = Arc::new(stage.clone());
+        let mut flip = false;
+        note(
+            "one worker changes: applied and published",
+            "us a node",
+            micros(|| {
+                flip = !flip;
+                let mut next = (*held).clone();
+                let change = WorkersChange {
+                    put: vec![row(7, flip)],
+                    ..Default::default()
+                };
+                next.apply(next.index + 1, &encode_change(ChangeKind::Workers(change)));
+                held = Arc::new(next);
+            }),
+        );
+        let body = stage.config_body.to_vec();
+        note(
+            "one route changes: the configuration is read whole",
+            "us a node",
+            micros(|| drop(Configuration::parse(&body))),
+        );
+        note("configuration", "KB a change", body.len() as f64 / 1024.0);
+        // An edge: the choice, and news of one worker.
+        let zones = (0..37)
+            .map(|z| (format!("zone-{z}"), format!("region-{}", z % 16)))
+            .collect();
+        let mut usher = Usher::new("zone-1", zones, Bounds::default(), 1);
+        usher.set_stage(1, held.clone());
+        usher.set_neighbours(Neighbours {
+            place: Place {
+                edges: 6900,
+                number: 3,
+                in_zone: 186,
+                number_in_zone: 3,
+            },
+            me: 1,
+            rtt: BTreeMap::new(),
+        });
+        let config = stage.config.clone().expect("there");
+        let route = config.route("h1.example", "/a1/x").expect("there").clone();
+        assert_eq!(route.kind, RouteKind::Idempotent);
+        let mut now = 10_000;
+        note(
+            "a request: the choice of a worker",
+            "us",
+            micros(|| {
+                now += 1;
+                let ask = Request {
+                    route: &route,
+                    key: None,
+                    service: "service-1",
+                    tried: &[],
+                    left_ms: 2000,
+                    zone: None,
+                };
+                if let usher::Found::Worker(w) = usher.choose(now, &ask) {
+                    usher.observe(now, &w.id, Observed::Answered(90.0));
+                }
+            }),
+        );
+        note(
+            "one worker changes: an edge takes it in",
+            "us a node",
+            micros(|| {
+                flip = !flip;
+                let mut next = (*held).clone();
+                let change = WorkersChange {
+                    put: vec![row(7, flip)],
+                    ..Default::default()
+                };
+                next.apply(next.index + 1, &encode_change(ChangeKind::Workers(change)));
+                held = Arc::new(next);
+                usher.set_stage(now, held.clone());
+            }),
+        );
+        // The leader's duties.
+        let callers: Vec<Caller> = (0..NODES as u64)
+            .map(|id| Caller {
+                id,
+                zone: format!("zone-{}", id % 37),
+            })
+            .collect();
+        let listed: BTreeMap<String, Worker> = stage
+            .workers
+            .iter()
+            .map(|(id, w)| (id.clone(), (**w).clone()))
+            .collect();
+        let bounds = Bounds::default();
+        let mut casting = Casting::default();
+        note(
+            "leader: the list against the state",
+            "us a look",
+            micros(|| {
+                let scene = Scene {
+                    stage: &stage,
+                    as_of: stage.index,
+                    callers: &callers,
+                    bounds: &bounds,
+                    lag_ms: 800,
+                };
+                casting.compare(now, &listed, &scene);
+            }),
+        );
+        let mut bench = Bench::default();
+        bench.begin(0);
+        let seen: Vec<Capacity> = stage
+            .workers
+            .keys()
+            .map(|id| Capacity {
+                worker: short(id),
+                answer_ms: 90.0,
+                served: 5,
+                failed: 0,
+            })
+            .collect();
+        note(
+            "leader: who fails",
+            "us a look",
+            micros(|| {
+                bench.take(&seen);
+                bench.decide(20_000, &stage);
+            }),
+        );
+        let mut wardrobe = Wardrobe::new(10_000, 300);
+        wardrobe.begin(now, &stage);
+        note(
+            "leader: renewals of keys",
+            "us a look",
+            micros(|| {
+                now += c::KEYS_EVERY_MS;
+                for act in wardrobe.tick(now, &stage) {
+                    match act {
+                        Act::Grant(g) => wardrobe.granted(now, &g.holding, Granted::Yes),
+                        Act::Log(_) => wardrobe.logged(),
+                        Act::Release(_) => {}
+                    }
+                }
+            }),
+        );
+        note(
+            "repair: digests of a copy",
+            "us",
+            micros(|| drop(understudy::digests(&stage))),
+        );
+    }
+    for (name, (unit, points)) in rows {
+        row(name, unit, WORKERS, &points);
+    }
+}
+
+/// Bytes of the agreement that the busiest voter and follower send.
+fn agreement() {
+    let (mut calm, mut changing, mut follower) = (vec![], vec![], vec![]);
+    for nodes in [75usize, 150, 300] {
+        let mut world = World::new(1);
+        for (i, name) in ["a", "b", "c", "d", "e", "f", "g", "h", "i"].iter().enumerate() {
+            world.add(name, &format!("r{}", i % 3 + 1), true, true);
+            if i == 0 {
+                world.begin(name);
+            }
+        }
+        for i in 0..nodes - 9 {
+            world.add(&format!("o{i}"), &format!("r{}", i % 3 + 1), false, true);
+        }
+        world.run(6000);
+        let mut version = 0;
+        let mut order = |world: &mut World| {
+            let body = rehearsal::script::configuration(version + 1);
+            let order = ReplaceOrder {
+                base: version,
+                body,
+                ..Default::default()
+            };
+            world.order(&format!("to-{version}"), order);
+            version += 1;
+        };
+        order(&mut world);
+        world.run(1500);
+        world.measure();
+        world.run(4000);
+        let size = nodes as f64;
+        calm.push((size, world.busiest(true) as f64));
+        follower.push((size, world.busiest(false) as f64));
+        world.measure();
+        for _ in 0..10 {
+            order(&mut world);
+            world.run(400);
+        }
+        changing.push((size, world.busiest(true) as f64));
+    }
+    row("voter, calm, nine voters", "B/s", NODES, &calm);
+    row("voter, 2.5 changes a second", "B/s", NODES, &changing);
+    row("follower, calm", "B/s", NODES, &follower);
+}
+
+fn main() {
+    if let Some(workers) = std::env::args().nth(1).and_then(|a| a.parse().ok()) {
+        let stage = state(workers);
+        println!("{}", resident());
+        drop(stage);
+        return;
+    }
+    println!("| what | unit | measured at | power | at the target |");
+    println!("| --- | --- | --- | --- | --- |");
+    membership();
+    control();
+    agreement();
+    println!("\npeak resident memory {:.0} MB", resident() / 1024.0);
+}
--- a/crates/wardrobe/src/lib.rs
+++ b/crates/wardrobe/src/lib.rs
@@ -333,11 +333,7 @@
             let unread = |w: &Arc<playbill::letters::Worker>| stage.is_unread(w);
             self.is_weak(now, id) || stage.workers.get(id).is_some_and(unread)
         };
-        let view = View {
-            stage,
-            loads: &self.loads,
-            cold: &cold,
-        };
+        let view = View::new(stage, &self.loads, &cold);
         let mut next_fence = stage.top_fence() + 1;
         let mut logged = view.hand_out(&puts, &mut next_fence);
         for service in config.services.values().filter(|s| s.partitioned) {
--- a/crates/wardrobe/src/plan.rs
+++ b/crates/wardrobe/src/plan.rs
@@ -5,6 +5,7 @@
 use playbill::letters::{Holding, Worker};
 use playbill::stage::KEYS;
 use playbill::Stage;
+use std::cell::OnceCell;
 use std::collections::HashMap;
 
 /// Stands for a fence that is still to be given.
@@ -15,6 +16,8 @@
     pub stage: &'a Stage,
     pub loads: &'a Loads,
     pub cold: &'a dyn Fn(&str) -> bool,
+    /// The workers by service, once they have been asked for.
+    by_service: OnceCell<HashMap<&'a str, Vec<&'a Worker>>>,
 }
 
 /// A worker that may be given keys, what it bears and what it has.
@@ -30,16 +33,36 @@
     }
 }
 
-impl View<'_> {
+impl<'a> View<'a> {
+    pub fn new(stage: &'a Stage, loads: &'a Loads, cold: &'a dyn Fn(&str) -> bool) -> View<'a> {
+        View {
+            stage,
+            loads,
+            cold,
+            by_service: OnceCell::new(),
+        }
+    }
+
+    /// The workers of a service.
+    fn of(&self, service: &str) -> &[&'a Worker] {
+        let by_service = self.by_service.get_or_init(|| {
+            let mut all: HashMap<&str, Vec<&Worker>> = HashMap::new();
+            for w in self.stage.workers.values() {
+                all.entry(&w.service).or_default().push(w);
+            }
+            all
+        });
+        by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+
     /// The workers of a service that may be given keys: warm ones, or cold
     /// ones if there are no others.
     fn usable(&self, service: &str) -> Vec<&Worker> {
         let able: Vec<&Worker> = self
-            .stage
-            .workers
-            .values()
-            .map(|w| &**w)
-            .filter(|w| w.service == service && !w.draining && !self.stage.evacuated.contains_key(&w.zone))
+            .of(service)
+            .iter()
+            .copied()
+            .filter(|w| !w.draining && !self.stage.evacuated.contains_key(&w.zone))
             .filter(|w| self.stage.may_hold(w))
             .collect();
         let fit = |w: &&Worker| !(self.cold)(&w.id) && !self.stage.benched.contains(&w.id);
