--- /dev/null
+++ b/crates/rehearsal/tests/histories.rs
@@ -0,0 +1,140 @@
+//! Histories of operators and watchdog: whatever they try on top of whatever they
+//! last saw, one rollout of a service is active, ends are final, races have one
+//! winner, and the split from before comes back exactly.
+
+use playbill::letters::ChangeKind;
+use playbill::stage::{encode_change, Outcome};
+use playbill::Stage;
+use preview::{Action, Create, PreviewChange, Refusal, Side, State};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use std::collections::BTreeMap;
+
+const ACTIONS: [Action; 7] = [
+    Action::Create,
+    Action::Start,
+    Action::Promote,
+    Action::Pause,
+    Action::Resume,
+    Action::Rollback,
+    Action::Cancel,
+];
+
+/// Who acts on which service, and how many changes ago they last looked.
+#[derive(Clone, Debug)]
+struct Move {
+    service: u8,
+    action: usize,
+    stale: usize,
+    target: u8,
+}
+
+fn moves() -> impl Strategy<Value = Vec<Move>> {
+    let one = (
+        0..2u8,
+        0..ACTIONS.len(),
+        prop_oneof![4 => Just(0usize), 1 => 1..4usize],
+        2..5u8,
+    );
+    prop::collection::vec(one, 1..120).prop_map(|all| {
+        all.into_iter()
+            .map(|(service, action, stale, target)| Move {
+                service,
+                action,
+                stale,
+                target,
+            })
+            .collect()
+    })
+}
+
+/// Versions of a service that get requests, by their side.
+fn split(stage: &Stage, service: &str) -> Vec<(String, Side)> {
+    let versions = (1..5).map(|v| format!("v{v}"));
+    let side = |v: &str| stage.rollouts.get(service).map_or(Side::Old, |p| p.side(v));
+    versions.map(|v| (v.clone(), side(&v))).collect()
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(41),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn histories_keep_the_promises(moves in moves()) {
+        let mut stage = Stage::default();
+        // What each service's rollout was at, over time.
+        let mut seen: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+        for m in moves {
+            let service = format!("s{}", m.service);
+            let action = ACTIONS[m.action];
+            let versions = seen.entry(service.clone()).or_default();
+            let expected = versions.iter().rev().nth(m.stale).copied().unwrap_or(0);
+            let change = PreviewChange {
+                service: service.clone(),
+                action: action as i32,
+                expected,
+                create: (action == Action::Create).then(|| Create {
+                    target: format!("v{}", m.target),
+                    duration_ms: 9000,
+                }),
+                showings: preview::showings(9000, 0.1),
+                before: vec!["v1".into()],
+                ..Default::default()
+            };
+            let before = stage.rollouts.get(&service).cloned();
+            let other = stage.rollouts.get(&format!("s{}", 1 - m.service)).cloned();
+            let index = stage.index + 1;
+            let outcome = stage.apply(index, &encode_change(ChangeKind::Rollout(change.clone())));
+            let after = stage.rollouts.get(&service).cloned();
+            prop_assert_eq!(&other, &stage.rollouts.get(&format!("s{}", 1 - m.service)).cloned());
+            match outcome {
+                Outcome::Applied => {
+                    let after = after.expect("there");
+                    prop_assert_eq!(after.version, index, "every change has its own number");
+                    versions.push(index);
+                    if action == Action::Create {
+                        prop_assert!(before.is_none_or(|p| !p.is_active()), "one is active");
+                    } else {
+                        let before = before.expect("there");
+                        prop_assert_eq!(before.version, expected, "who was late has lost");
+                        prop_assert!(before.is_active(), "an end is final");
+                        prop_assert_eq!(&before.before, &after.before, "the snapshot stays");
+                    }
+                    match after.state_now() {
+                        State::RolledBack | State::Cancelled => {
+                            for (version, side) in split(&stage, &service) {
+                                let new = version == after.target;
+                                prop_assert_eq!(side, if new { Side::Neither } else { Side::Old });
+                            }
+                            prop_assert_eq!(after.share(), 0.0);
+                        }
+                        State::Completed => {
+                            let gone = split(&stage, &service);
+                            prop_assert!(gone.contains(&("v1".into(), Side::Neither)));
+                            prop_assert!(gone.contains(&(after.target.clone(), Side::Old)));
+                        }
+                        _ => {}
+                    }
+                }
+                Outcome::Already => {
+                    let p = before.clone().expect("there");
+                    prop_assert!(action == Action::Create && p.is_active());
+                    prop_assert_eq!(&before, &after);
+                }
+                Outcome::Refused(refusal) => {
+                    prop_assert_eq!(&before, &after, "what is refused changes nothing");
+                    if let Refusal::Held { target, .. } = refusal {
+                        prop_assert_eq!(target, before.expect("there").target.clone());
+                    }
+                }
+                other => prop_assert!(false, "{other:?}"),
+            }
+            let again = Stage::from_image(stage.image()).expect("readable");
+            prop_assert_eq!(&again.rollouts, &stage.rollouts);
+        }
+    }
+}
--- a/crates/rehearsal/tests/rollouts.rs
+++ b/crates/rehearsal/tests/rollouts.rs
@@ -60,6 +60,7 @@
     lag_ms: u64,
     up_at: u64,
     cut_until: u64,
+    heard_at: u64,
 }
 
 #[derive(Default)]
@@ -109,6 +110,8 @@
     bad_answers: u64,
     fiftieth_at: Option<u64>,
     late_sends: u64,
+    /// Sent to the new version by a node that has lost the core, before its end.
+    lost_sends: u64,
     old_after_end: u64,
     ended_at: u64,
     refused: Option<String>,
@@ -143,6 +146,7 @@
             bad_answers: 0,
             fiftieth_at: None,
             late_sends: 0,
+            lost_sends: 0,
             old_after_end: 0,
             ended_at: 0,
             refused: None,
@@ -206,6 +210,7 @@
             lag_ms: self.rng.gen_range(0..250),
             up_at: self.now,
             cut_until: 0,
+            heard_at: self.now,
         }
     }
 
@@ -404,6 +409,7 @@
         let hears = node.cut_until <= now && now >= self.core_cut_until;
         if hears {
             node.usher.set_contact(now);
+            node.heard_at = now;
             let newest = self.log.partition_point(|(at, _)| at + node.lag_ms <= now).max(1) - 1;
             if node.seen < newest {
                 node.seen = newest;
@@ -455,6 +461,10 @@
                 self.new += u64::from(in_term);
                 let over = self.fiftieth_at.is_some_and(|at| now > at + ROLLBACK_MS);
                 self.late_sends += u64::from(over && in_touch);
+                let node = &self.nodes[i];
+                let active = self.log[node.seen].1.rollouts.values().any(|p| p.is_active());
+                let lost = now > node.heard_at + preview::FALLBACK_MS;
+                self.lost_sends += u64::from(active && lost);
             } else if self.ended_at > 0 && hears && now > self.ended_at + 300 {
                 self.old_after_end += 1;
             }
@@ -517,6 +527,7 @@
             self.late_sends, 0,
             "sent to a bad version after the rollback's time"
         );
+        assert_eq!(self.lost_sends, 0, "sent to a new version without the core");
         assert_eq!(self.old_after_end, 0, "sent to the old version after its end");
         let stage = self.stage();
         let again = Stage::from_image(stage.image()).expect("readable");
