--- a/crates/wardrobe/src/tests.rs
+++ b/crates/wardrobe/src/tests.rs
@@ -342,3 +342,64 @@
     p.run(4000, "");
     assert!(p.held_by("w0") > 0);
 }
+
+#[test]
+fn keys_follow_the_stages_of_a_rollout_and_come_back() {
+    use preview::{Action, Create, PreviewChange};
+    let mut p = Play::new(8);
+    let old = (0..8).map(|i| Worker {
+        version: "v1".into(),
+        ..worker(&format!("w{i}"))
+    });
+    let new = (0..8).map(|i| Worker {
+        version: "v2".into(),
+        ..worker(&format!("x{i}"))
+    });
+    p.change(ChangeKind::Workers(WorkersChange {
+        put: old.collect(),
+        ..Default::default()
+    }));
+    p.run(1000, "");
+    let step = |p: &mut Play, action: Action| {
+        let expected = p.stage.rollouts.get("s").map_or(0, |r| r.version);
+        let create = (action == Action::Create).then(|| Create {
+            target: "v2".into(),
+            duration_ms: 60_000,
+        });
+        p.change(ChangeKind::Rollout(PreviewChange {
+            service: "s".into(),
+            action: action as i32,
+            expected,
+            create,
+            showings: preview::showings(60_000, 0.1),
+            before: vec!["v1".into()],
+            ..Default::default()
+        }));
+    };
+    let with_new = |p: &Play| (0..8).map(|i| p.held_by(&format!("x{i}"))).sum::<u32>();
+    step(&mut p, Action::Create);
+    p.change(ChangeKind::Workers(WorkersChange {
+        put: new.collect(),
+        ..Default::default()
+    }));
+    p.run(5000, "");
+    assert_eq!(with_new(&p), 0, "ordered, not started");
+    step(&mut p, Action::Start);
+    p.run(9000, "");
+    let held: Vec<u32> = (0..8).map(|i| p.held_by(&format!("x{i}"))).collect();
+    let holders = held.iter().filter(|h| **h > 0).count();
+    assert_eq!(holders, 1, "a small share goes to few workers: {held:?}");
+    assert!(with_new(&p) < KEYS / 5, "{held:?}");
+    p.check_cover();
+    step(&mut p, Action::Promote);
+    p.run(9000, "");
+    assert!(with_new(&p) > KEYS / 10 && with_new(&p) < KEYS / 2);
+    step(&mut p, Action::Promote);
+    p.run(12_000, "");
+    assert_eq!(with_new(&p), KEYS, "all of it");
+    p.check_cover();
+    step(&mut p, Action::Rollback);
+    p.run(12_000, "");
+    assert_eq!(with_new(&p), 0, "and back");
+    p.check_cover();
+}
