A rollout's first stage lasts a third of its term

What turns bad late should do so while it has little: at the whole share one and a half seconds of detection are more than ExposureShare of a 14 s rollout.

--- a/crates/preview/src/limits.rs
+++ b/crates/preview/src/limits.rs
@@ -12,9 +12,10 @@
 pub const FIRST_SHARE: (f64, f64) = (0.005, 0.08);
 /// Share of the second stage: a step between the first and all.
 pub const SECOND_SHARE: f64 = 0.3;
-/// Observation of the three stages as parts of the rollout's duration; the rest
+/// Observation of the three stages as parts of the rollout's duration: what turns
+/// bad late should do so while it has little; the rest
 /// is for workers to start and to get warm.
-pub const OBSERVE_PARTS: [f64; 3] = [0.24, 0.07, 0.15];
+pub const OBSERVE_PARTS: [f64; 3] = [0.32, 0.07, 0.15];
 /// Least observation of each stage, ms: reports come twice a second, and what
 /// runs on the old workers takes seconds to end.
 pub const OBSERVE_MIN_MS: [u64; 3] = [2000, 800, 2000];
