A node without the core is told by when it heard, not by when it asked

Found on re-reading: a follower that tries one voter after the other every 1.1 s took each asking for hearing, so its split from before a rollout never came back by itself. Test: asking another voter is not hearing the core.

--- a/crates/playhouse/src/conductor/mod.rs
+++ b/crates/playhouse/src/conductor/mod.rs
@@ -348,11 +348,11 @@
 
     fn publish(&mut self) {
         let now = self.house.now();
-        let heard = match &self.vault {
-            Some(_) if self.prompter.holds_lease(now) => now,
-            Some(_) if self.prompter.is_leader() => self.house.contact.get(),
-            Some(_) => self.prompter.heard_at(),
-            None => self.prompter.feed().1,
+        // Through a voter or from the leader itself; asking a voter does not count.
+        let heard = match () {
+            () if self.prompter.holds_lease(now) => now,
+            () if self.prompter.is_leader() => self.house.contact.get(),
+            () => self.prompter.heard_at(),
         };
         self.house.contact.set(heard);
         let before = self.house.standing.get();
--- a/crates/prompter/src/machine/relay.rs
+++ b/crates/prompter/src/machine/relay.rs
@@ -393,4 +393,24 @@
         }
         assert_eq!((node.commit(), node.is_current()), (7, true));
     }
+
+    /// A node whose voters have all lost the core asks one after the other; that
+    /// it asks must not look as if it had heard.
+    #[test]
+    fn asking_another_voter_is_not_hearing_the_core() {
+        let mut node = Prompter::new(9, Saved::default(), TIMING, 0, 1);
+        let passed_on = Cue {
+            leader: 1,
+            ..append(0, 0, 0, vec![])
+        };
+        node.follow(10, 2);
+        node.receive(50, 2, passed_on.clone());
+        assert_eq!(node.heard_at(), 50);
+        for (now, voter) in [(1200, 3), (2400, 4), (3600, 2)] {
+            node.follow(now, voter);
+            assert_eq!((node.feed().1, node.heard_at()), (now, 50));
+        }
+        node.receive(3700, 2, passed_on);
+        assert_eq!(node.heard_at(), 3700);
+    }
 }
