A cold worker keeps its cast as long as it is cold, whoever ends

Found on re-reading: after a herd a second cast in the same cold time had shares again, up to one and a half times the bound within a second. Test in casting.

--- a/crates/boxoffice/src/casting.rs
+++ b/crates/boxoffice/src/casting.rs
@@ -94,6 +94,8 @@
             }
             let cast = match known {
                 Some(w) if cold_ms == 0 => w.cast,
+                // Two casts in one cold time would have shares twice.
+                Some(w) if w.cold_ms > 0 && stage.casts.contains_key(&w.cast) => w.cast,
                 Some(w) if is_staffed(scene, w.cast) => w.cast,
                 _ if cold_ms == 0 => 0,
                 _ => cast_for(l, scene, &mut groups, &mut change.casts),
@@ -132,7 +134,8 @@
 }
 
 /// Whether half of a cast is up: it stays with its worker as long, so that what a
-/// node that lags behind still goes by is the same.
+/// node that lags behind still goes by is the same. While the worker is cold it
+/// stays whoever is up.
 fn is_staffed(scene: &Scene, cast: u32) -> bool {
     let Some(nodes) = scene.stage.casts.get(&cast) else {
         return false;
@@ -310,6 +313,31 @@
         assert_eq!((p.cast("w"), p.stage.casts.len()), (cast, 1));
     }
 
+    #[test]
+    fn a_cold_worker_keeps_its_cast_whoever_ends() {
+        let mut p = Play::new(8);
+        p.list("w", "s", 3000);
+        p.look(0);
+        let cast = p.cast("w");
+        // A herd ends and is back as somebody new; a new leader tells again.
+        for n in &mut p.callers {
+            n.id += 100;
+        }
+        p.casting.begin();
+        p.list("w", "s", 2800);
+        assert_eq!(p.look(200).put.len(), 1);
+        assert_eq!(p.cast("w"), cast, "no second shares within one cold time");
+        p.list("w", "s", 0);
+        p.look(3000);
+        assert_eq!(p.look(1200).warm.len(), 0);
+        p.list("w", "s", 3000);
+        p.look(500);
+        assert!(
+            p.cast("w").iter().all(|n| *n > 100),
+            "the next time others have them"
+        );
+    }
+
     #[test]
     fn a_new_leader_tells_of_a_worker_that_turned_cold_again() {
         let mut p = Play::new(4);
