--- /dev/null
+++ b/crates/rehearsal/tests/model.rs
@@ -0,0 +1,275 @@
+//! Every history of a few steps, over two leaders and three workers: grants, renewals,
+//! releases and takeovers on the real state machine, with calls that arrive late or
+//! whose answers are lost. No key ever has two holders. A leader that forgets what
+//! its predecessor granted must be found.
+
+use playbill::constants as c;
+use playbill::letters::*;
+use playbill::stage::encode_change;
+use playbill::Stage;
+use rehearsal::workers::StandIn;
+use wardrobe::{Act, GrantCall, Granted, ReleaseCall, Released, Wardrobe};
+
+const TICK_MS: u64 = 100;
+/// A call that has not arrived by then never does: its connection has ended.
+const LOST_MS: u64 = c::GRANT_WAIT_MS + c::WORKER_SILENCE_MS + 4 * c::FAR_MS as u64;
+const DEPTH: usize = 7;
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Step {
+    /// Time passes, calls arrive and are answered.
+    Pass,
+    /// Time passes, calls are held up.
+    Hold,
+    /// Time passes, calls arrive and their answers are lost.
+    Mute,
+    /// The other leader takes over.
+    Lead,
+    Drain,
+    /// The life of a worker ends.
+    End,
+}
+
+const STEPS: [Step; 6] = [
+    Step::Pass,
+    Step::Hold,
+    Step::Mute,
+    Step::Lead,
+    Step::Drain,
+    Step::End,
+];
+
+#[derive(Clone)]
+enum Call {
+    Grant(GrantCall),
+    Release(ReleaseCall),
+}
+
+#[derive(Clone)]
+struct Flight {
+    call: Call,
+    leader: usize,
+    sent: u64,
+    arrived: bool,
+}
+
+#[derive(Clone)]
+struct Model {
+    now: u64,
+    stage: Stage,
+    leaders: [Wardrobe; 2],
+    leading: usize,
+    flights: Vec<Flight>,
+    workers: Vec<StandIn>,
+    done: [bool; 6],
+    forgets: bool,
+}
+
+impl Model {
+    fn new(forgets: bool) -> Model {
+        let mut stage = Stage::default();
+        let mut change = |kind| {
+            let index = stage.index + 1;
+            stage.apply(index, &encode_change(kind));
+        };
+        change(ChangeKind::Replace(ReplaceOrder {
+            body: rehearsal::script::configuration(1),
+            ..Default::default()
+        }));
+        let rows: Vec<Worker> = (0..3)
+            .map(|i| Worker {
+                id: format!("w{i}"),
+                service: "s".into(),
+                address: format!("at-w{i}"),
+                zone: "z".into(),
+                ..Default::default()
+            })
+            .collect();
+        change(ChangeKind::Workers(WorkersChange {
+            put: rows.clone(),
+            ..Default::default()
+        }));
+        let new = || Wardrobe::new(10_000, 300);
+        Model {
+            now: 10_000,
+            stage,
+            leaders: [new(), new()],
+            leading: 0,
+            flights: Vec::new(),
+            workers: rows.into_iter().map(StandIn::new).collect(),
+            done: [false; 6],
+            forgets,
+        }
+    }
+
+    fn change(&mut self, kind: ChangeKind) {
+        let index = self.stage.index + 1;
+        self.stage.apply(index, &encode_change(kind));
+    }
+
+    fn take(&mut self, step: Step) {
+        match step {
+            Step::Lead => {
+                self.leading = 1 - self.leading;
+                if self.forgets {
+                    self.leaders[self.leading] = Wardrobe::new(10_000, 300);
+                } else {
+                    let (now, stage) = (self.now, self.stage.clone());
+                    self.leaders[self.leading].begin(now, &stage);
+                }
+                self.pass(step, 2);
+            }
+            Step::Drain => {
+                let mut row = self.workers[0].listed.clone();
+                row.draining = true;
+                let put = vec![row];
+                self.change(ChangeKind::Workers(WorkersChange {
+                    put,
+                    ..Default::default()
+                }));
+                self.pass(step, 1);
+            }
+            Step::End => {
+                self.workers[1].up = false;
+                self.change(ChangeKind::Workers(WorkersChange {
+                    gone: vec!["w1".into()],
+                    ..Default::default()
+                }));
+                self.pass(step, 1);
+            }
+            _ => self.pass(step, 8),
+        }
+        self.done[step as usize] = true;
+    }
+
+    fn pass(&mut self, step: Step, ticks: u64) {
+        for _ in 0..ticks {
+            self.now += TICK_MS;
+            if !matches!(step, Step::Hold) {
+                self.arrive(step == Step::Mute);
+            }
+            self.give_up();
+            let (now, stage) = (self.now, self.stage.clone());
+            for act in self.leaders[self.leading].tick(now, &stage) {
+                let call = match act {
+                    Act::Log(put) => {
+                        self.change(ChangeKind::Keys(KeysChange { put }));
+                        self.leaders[self.leading].logged();
+                        continue;
+                    }
+                    Act::Grant(call) => Call::Grant(call),
+                    Act::Release(call) => Call::Release(call),
+                };
+                self.flights.push(Flight {
+                    call,
+                    leader: self.leading,
+                    sent: now,
+                    arrived: false,
+                });
+            }
+            self.check();
+        }
+    }
+
+    fn arrive(&mut self, mute: bool) {
+        let now = self.now;
+        for mut f in std::mem::take(&mut self.flights) {
+            let address = match &f.call {
+                Call::Grant(g) => &g.address,
+                Call::Release(r) => &r.address,
+            };
+            let worker = self.workers.iter_mut().find(|w| w.listed.address == *address);
+            let Some(worker) = worker.filter(|w| w.up && !f.arrived) else {
+                self.flights.push(f);
+                continue;
+            };
+            let waits = now < f.sent + c::GRANT_WAIT_MS && !mute;
+            let leader = &mut self.leaders[f.leader];
+            match &f.call {
+                Call::Grant(g) => {
+                    let end = worker.grant(now, &g.holding, g.hold_ms);
+                    if waits {
+                        leader.granted(now, &g.holding, end);
+                    }
+                }
+                Call::Release(r) => {
+                    let end = worker.release(&r.holding);
+                    if waits {
+                        leader.released(now, &r.holding, end);
+                    }
+                }
+            }
+            if !waits {
+                f.arrived = true;
+                self.flights.push(f);
+            }
+        }
+    }
+
+    /// Callers stop waiting; later calls that have not arrived never do.
+    fn give_up(&mut self) {
+        let now = self.now;
+        for f in &self.flights {
+            if now < f.sent + c::GRANT_WAIT_MS || now >= f.sent + c::GRANT_WAIT_MS + TICK_MS {
+                continue;
+            }
+            let leader = &mut self.leaders[f.leader];
+            match &f.call {
+                Call::Grant(g) => leader.granted(now, &g.holding, Granted::Unclear),
+                Call::Release(r) => leader.released(now, &r.holding, Released::Failed),
+            }
+        }
+        self.flights
+            .retain(|f| now < f.sent + LOST_MS && !(f.arrived && now >= f.sent + c::GRANT_WAIT_MS));
+    }
+
+    fn check(&self) {
+        let mut held: Vec<(u32, u32, usize)> = Vec::new();
+        for (i, w) in self.workers.iter().enumerate() {
+            held.extend(w.holds(self.now).map(|(a, b)| (a, b, i)));
+        }
+        held.sort_unstable();
+        for pair in held.windows(2) {
+            let shared = pair[0].1 >= pair[1].0 && pair[0].2 != pair[1].2;
+            assert!(!shared, "{pair:?} at {}", self.now);
+        }
+    }
+}
+
+/// Plays all that can follow; how many histories that was.
+fn explore(model: &Model, depth: usize) -> u64 {
+    if depth == 0 {
+        return 1;
+    }
+    let mut count = 0;
+    for step in STEPS {
+        let once = matches!(step, Step::Drain | Step::End);
+        if once && model.done[step as usize] {
+            continue;
+        }
+        let mut next = model.clone();
+        next.take(step);
+        count += explore(&next, depth - 1);
+    }
+    count
+}
+
+fn begun(forgets: bool) -> Model {
+    let mut model = Model::new(forgets);
+    model.take(Step::Pass);
+    model
+}
+
+#[test]
+fn no_history_gives_a_key_two_holders() {
+    let count = explore(&begun(false), DEPTH);
+    println!("{count} histories");
+    assert!(count > 20_000, "{count}");
+}
+
+#[test]
+fn a_leader_that_forgets_is_found() {
+    let model = begun(true);
+    let found = std::panic::catch_unwind(|| explore(&model, DEPTH));
+    assert!(found.is_err(), "the check must find it");
+}
--- a/crates/wardrobe/src/lib.rs
+++ b/crates/wardrobe/src/lib.rs
@@ -57,7 +57,7 @@
     Failed,
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Track {
     busy: bool,
     next_at: u64,
@@ -85,6 +85,7 @@
     settled: u64,
 }
 
+#[derive(Clone)]
 pub struct Wardrobe {
     hold_ms: u64,
     thaw_ms: u64,
--- a/crates/wardrobe/src/loads.rs
+++ b/crates/wardrobe/src/loads.rs
@@ -5,7 +5,7 @@
 use playbill::stage::KEYS;
 use std::collections::BTreeMap;
 
-#[derive(Default)]
+#[derive(Clone, Default)]
 struct ServiceLoad {
     /// Smoothed requests a second by key: with hundreds of holders a few hundred
     /// busy keys side by side must be spread over dozens of them.
@@ -18,7 +18,7 @@
 }
 
 /// Loads as the proxies report them.
-#[derive(Default)]
+#[derive(Clone, Default)]
 pub struct Loads {
     services: BTreeMap<u32, ServiceLoad>,
     /// Answer times of workers: their sum in ms, and how many; both fade.
