Only what was sent to a service counts for a new version's share

Found on re-reading: refused requests counted as well, so that in an overload a node's share of what reached the service could have been twice the bound. Test of the ledger.

--- a/crates/usher/src/seats.rs
+++ b/crates/usher/src/seats.rs
@@ -443,7 +443,7 @@
         let most = self.bounds.exposure_share;
         let bound = (share <= most).then_some(most);
         let ledger = self.ledgers.entry(request.service.to_string()).or_default();
-        ledger.first_try(p.ordered);
+        ledger.begin(p.ordered);
         if request.key.is_none() && drawn && ledger.may_try_new(bound) {
             Side::New
         } else {
@@ -459,10 +459,8 @@
         if !p.is_active() {
             return None;
         }
-        if side == Side::New {
-            if let Some(ledger) = self.ledgers.get_mut(request.service) {
-                ledger.tried_new();
-            }
+        if let Some(ledger) = self.ledgers.get_mut(request.service) {
+            ledger.sent(request.tried.is_empty(), side == Side::New);
         }
         (!seat.is_cold(now)).then(|| Ticket {
             service: short(request.service),
--- a/crates/usher/src/trial.rs
+++ b/crates/usher/src/trial.rs
@@ -24,23 +24,25 @@
 }
 
 impl Ledger {
-    pub fn first_try(&mut self, ordered: u64) {
+    /// Counts anew if there is another order.
+    pub fn begin(&mut self, ordered: u64) {
         if self.ordered != ordered {
             *self = Ledger {
                 ordered,
                 ..Ledger::default()
             };
         }
-        self.all += 1;
     }
 
-    /// Whether one more may go to the new version, within a part of all.
+    /// Whether one more may go to the new version, within a part of all that were
+    /// sent to the service: what is refused does not reach it.
     pub fn may_try_new(&self, bound: Option<f64>) -> bool {
-        bound.is_none_or(|part| (self.new + 1) as f64 <= self.all as f64 * part)
+        bound.is_none_or(|part| (self.new + 1) as f64 <= (self.all + 1) as f64 * part)
     }
 
-    pub fn tried_new(&mut self) {
-        self.new += 1;
+    pub fn sent(&mut self, first: bool, new: bool) {
+        self.all += u64::from(first);
+        self.new += u64::from(new);
     }
 }
 
@@ -85,3 +87,27 @@
             .collect()
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    #[test]
+    fn what_was_refused_gives_no_share_and_another_order_counts_anew() {
+        let mut ledger = Ledger::default();
+        ledger.begin(5);
+        let mut new = 0;
+        for i in 0..1000 {
+            if i % 2 == 0 {
+                continue; // Asked for, and refused: nothing is sent.
+            }
+            let tries = ledger.may_try_new(Some(0.1));
+            ledger.sent(true, tries);
+            new += u32::from(tries);
+        }
+        assert_eq!(new, 50, "a tenth of what was sent");
+        ledger.begin(9);
+        assert!(!ledger.may_try_new(Some(0.1)), "a fresh count has nothing");
+        assert!(ledger.may_try_new(None));
+    }
+}
