--- a/crates/playhouse/src/cli/mod.rs
+++ b/crates/playhouse/src/cli/mod.rs
@@ -4,6 +4,7 @@
 mod call;
 mod check;
 mod config;
+mod keys;
 mod rollout;
 mod status;
 
@@ -58,6 +59,9 @@
     /// Move services to new versions, and steer that.
     #[command(subcommand)]
     Rollout(rollout::RolloutCommand),
+    /// Show who holds which keys.
+    #[command(subcommand)]
+    Keys(keys::KeysCommand),
     /// Show leader, members, versions, key holders and fractions.
     Status(ControlArgs),
 }
@@ -175,6 +179,7 @@
         Command::Evacuate(EvacuateCommand::Finish { zone, control }) => {
             config::evacuate(&zone, "finish", &control)
         }
+        Command::Keys(command) => keys::run(command),
         Command::Rollout(command) => rollout::run(command),
         Command::Status(c) => status::status(&c),
     };
