--- a/crates/rehearsal/examples/capacity.rs
+++ b/crates/rehearsal/examples/capacity.rs
@@ -263,25 +263,26 @@
         let stage = state(workers);
         note("copy, packed", "KB", stage.to_snapshot().len() as f64 / 1024.0);
         let services = (workers / 27).max(1);
-        let row = |i: usize, draining| Worker {
-            draining,
-            ..worker(i, services)
-        };
         let mut held = Arc::new(stage.clone());
-        let mut flip = false;
+        let mut draining = false;
+        let mut word_of_one = |held: &mut Arc<Stage>| {
+            draining = !draining;
+            let row = Worker {
+                draining,
+                ..worker(7, services)
+            };
+            let change = WorkersChange {
+                put: vec![row],
+                ..Default::default()
+            };
+            let mut next = (**held).clone();
+            next.apply(next.index + 1, &encode_change(ChangeKind::Workers(change)));
+            *held = Arc::new(next);
+        };
         note(
             "one worker changes: applied and published",
             "us a node",
-            micros(|| {
-                flip = !flip;
-                let mut next = (*held).clone();
-                let change = WorkersChange {
-                    put: vec![row(7, flip)],
-                    ..Default::default()
-                };
-                next.apply(next.index + 1, &encode_change(ChangeKind::Workers(change)));
-                held = Arc::new(next);
-            }),
+            micros(|| word_of_one(&mut held)),
         );
         let body = stage.config_body.to_vec();
         note(
@@ -332,14 +333,7 @@
             "one worker changes: an edge takes it in",
             "us a node",
             micros(|| {
-                flip = !flip;
-                let mut next = (*held).clone();
-                let change = WorkersChange {
-                    put: vec![row(7, flip)],
-                    ..Default::default()
-                };
-                next.apply(next.index + 1, &encode_change(ChangeKind::Workers(change)));
-                held = Arc::new(next);
+                word_of_one(&mut held);
                 usher.set_stage(now, held.clone());
             }),
         );
