One verdict, one look-up of a service, one way to play a folder of scenarios

Critic::verdict and calm_enough serve watchdog, gate and figures; Stage::service and returned_cold_ms replace five copies; measure() picks the base for both judgements; workers on trial are looked up in a set, not a list, for each report.

--- a/crates/boxoffice/src/bench.rs
+++ b/crates/boxoffice/src/bench.rs
@@ -113,11 +113,7 @@
         let answered = known.iter().filter(|(_, o)| o.served >= c::BENCH_OUTCOMES);
         let usual_ms = median(answered.map(|(_, o)| o.mean_ms()).collect());
         // A worker of a divided service that lags may only have busy keys.
-        let divided = stage
-            .config
-            .as_ref()
-            .and_then(|c| c.services.get(service))
-            .is_some_and(|s| s.partitioned);
+        let divided = stage.service(service).is_some_and(|s| s.partitioned);
         let mut bad: Vec<(f64, &str)> = known
             .iter()
             .filter_map(|(id, o)| {
--- a/crates/boxoffice/src/casting.rs
+++ b/crates/boxoffice/src/casting.rs
@@ -68,12 +68,7 @@
             let settling = told.filter(|t| now < t.at + scene.lag_ms + c::COLD_MARGIN_MS);
             let mut cold_ms = l.cold_ms;
             if unread {
-                let service = stage
-                    .config
-                    .as_ref()
-                    .and_then(|c| c.services.get(l.service.as_str()));
-                let period = service.map_or(0, |s| s.cold_period_ms);
-                cold_ms = cold_ms.max(period).max(c::RETURN_COLD_MS);
+                cold_ms = cold_ms.max(stage.returned_cold_ms(&l.service));
             } else if let Some(t) = settling {
                 cold_ms = cold_ms.max(t.until.saturating_sub(now));
             }
@@ -148,8 +143,7 @@
 type Groups = HashMap<(String, String), Vec<u32>>;
 
 fn cast_for(l: &Listed, scene: &Scene, groups: &mut Groups, new: &mut Vec<Cast>) -> u32 {
-    let config = scene.stage.config.as_ref();
-    let service = config.and_then(|c| c.services.get(l.service.as_str()));
+    let service = scene.stage.service(&l.service);
     let keyed = service.is_some_and(|s| s.partitioned);
     let zone = if keyed { "" } else { l.zone.as_str() };
     let key = (l.service.clone(), zone.to_string());
--- a/crates/playbill/src/stage.rs
+++ b/crates/playbill/src/stage.rs
@@ -2,7 +2,8 @@
 //! copy; two copies that stand at the same index are equal.
 
 use crate::amend::amend;
-use crate::config::{Configuration, Fault};
+use crate::config::{Configuration, Fault, Service};
+use crate::constants as c;
 use crate::letters::*;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
@@ -70,6 +71,18 @@
         self.config.as_ref().map_or(0, |c| c.version)
     }
 
+    /// A service of the configuration in force.
+    pub fn service(&self, name: &str) -> Option<&Service> {
+        self.config.as_ref()?.services.get(name)
+    }
+
+    /// How long the workers of a service are taken for cold whose zone was taken back,
+    /// as long as nobody has told, ms.
+    pub fn returned_cold_ms(&self, service: &str) -> u64 {
+        let period = self.service(service).map_or(0, |s| s.cold_period_ms);
+        period.max(c::RETURN_COLD_MS)
+    }
+
     /// Whether the configuration in force came of this very order.
     fn is_in_force(&self, order: &ReplaceOrder) -> bool {
         let same = if order.amendment.is_empty() {
--- a/crates/playhouse/src/conductor/rollouts.rs
+++ b/crates/playhouse/src/conductor/rollouts.rs
@@ -77,11 +77,7 @@
         let text = format!("Duration: must be {} ms or more", c::ROLLOUT_LEAST_MS);
         return Some(refusal(400, &text));
     }
-    let known = stage
-        .config
-        .as_ref()
-        .is_some_and(|c| c.services.contains_key(service));
-    if !known {
+    if stage.service(service).is_none() {
         return Some(refusal(404, "Service: the configuration has no such service"));
     }
     let mut versions = of_service(stage, service).map(|w| w.version.as_str()).peekable();
--- a/crates/playhouse/src/producer.rs
+++ b/crates/playhouse/src/producer.rs
@@ -7,6 +7,7 @@
 use playbill::letters::{short, Capacity, ChangeKind};
 use playbill::Stage;
 use preview::{Action, Critic, Facts, Level, Levels, Preview, Side, Trial, Verdict};
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -161,11 +162,11 @@
     /// What is counted of new versions is no sign of the system's state.
     fn take_capacity(&mut self, capacity: &[Capacity]) {
         let stage = self.house.stage.get();
-        let on_trial: Vec<u32> = if stage.rollouts.values().any(|p| p.is_active()) {
+        let on_trial: BTreeSet<u32> = if stage.rollouts.values().any(|p| p.is_active()) {
             let new = stage.workers.values().filter(|w| stage.side(w) == Side::New);
             new.map(|w| short(&w.id)).collect()
         } else {
-            Vec::new()
+            BTreeSet::new()
         };
         for w in capacity.iter().filter(|w| !on_trial.contains(&w.worker)) {
             self.levels.take(w.served, w.failed);
@@ -199,12 +200,7 @@
         match msg.action {
             Action::Promote => {
                 Critic::gate(now, &facts)?;
-                let review = p.showings.get(p.at as usize).and_then(|s| s.review.clone());
-                let verdict = self
-                    .critic
-                    .tally(&p.service)
-                    .map(|t| t.judge(&review.unwrap_or_default(), p.share() < 1.0));
-                match verdict {
+                match self.critic.verdict(p) {
                     Some(Verdict::Good) => {}
                     Some(Verdict::Unproven(why)) => return Err(format!("not proven: {why}")),
                     Some(Verdict::Bad(why)) => return Err(format!("the version is bad: {why}")),
@@ -214,9 +210,7 @@
                     return Err("keys are still held by workers of the old version".into());
                 }
             }
-            Action::Resume if facts.level >= Level::Two => {
-                return Err(format!("the emergency level is {}", facts.level as u8));
-            }
+            Action::Resume => Critic::calm_enough(&facts)?,
             _ => {}
         }
         Ok(elapsed)
@@ -234,8 +228,7 @@
             .filter_map(|p| {
                 let tally = self.critic.tally(&p.service)?;
                 let (old, new) = tally.whole();
-                let review = p.showings.get(p.at as usize).and_then(|s| s.review.clone());
-                let verdict = match tally.judge(&review.unwrap_or_default(), p.share() < 1.0) {
+                let verdict = match self.critic.verdict(p)? {
                     Verdict::Good => "good".to_string(),
                     Verdict::Unproven(why) => format!("not proven: {why}"),
                     Verdict::Bad(why) => format!("bad: {why}"),
--- a/crates/preview/src/critic.rs
+++ b/crates/preview/src/critic.rs
@@ -2,7 +2,7 @@
 //! the gate. It runs on the leader; what it decides takes place in the log.
 
 use crate::limits::*;
-use crate::rollout::{Action, Preview, PreviewChange, Review, State, Table};
+use crate::rollout::{Action, Preview, PreviewChange, State, Table};
 use crate::tally::{Tally, Trial, Verdict};
 use std::collections::BTreeMap;
 
@@ -136,20 +136,31 @@
         began.map_or(p.elapsed_ms, |at| (now as i64 - at).max(0) as u64)
     }
 
-    /// What the figures of a rollout come to, and the figures themselves.
+    /// What the figures of the stage in force come to.
+    pub fn verdict(&self, p: &Preview) -> Option<Verdict> {
+        self.watches.get(&p.service).map(|w| verdict(&w.tally, p))
+    }
+
+    /// The figures of a rollout.
     pub fn tally(&self, service: &str) -> Option<&Tally> {
         self.watches.get(service).map(|w| &w.tally)
     }
 
+    /// The gate in front of resume.
+    pub fn calm_enough(facts: &Facts) -> Result<(), String> {
+        if facts.level >= Level::Two {
+            return Err(format!("the emergency level is {}", facts.level as u8));
+        }
+        Ok(())
+    }
+
     /// The gate in front of start and promote: closed unless everything that it
     /// goes by can be read and is in order.
     pub fn gate(now: u64, facts: &Facts) -> Result<(), String> {
         if facts.kill_switch {
             return Err("the kill switch is on".into());
         }
-        if facts.level >= Level::Two {
-            return Err(format!("the emergency level is {}", facts.level as u8));
-        }
+        Critic::calm_enough(facts)?;
         if now.saturating_sub(facts.reported_at) > BLIND_MS || facts.reported_at == 0 {
             return Err("the figures cannot be read".into());
         }
@@ -172,7 +183,7 @@
             watch.in_force = Some(now.min(waited));
             watch.tally.next_stage();
         }
-        let verdict = watch.tally.judge(&review(p), p.share() < 1.0);
+        let verdict = verdict(&watch.tally, p);
         watch.tally.fade();
         let (action, why, bypass) = action(now, elapsed, p, facts, watch, &verdict)?;
         watch.acted_at = now;
@@ -189,9 +200,10 @@
     }
 }
 
-fn review(p: &Preview) -> Review {
+fn verdict(tally: &Tally, p: &Preview) -> Verdict {
     let showing = p.showings.get(p.at as usize);
-    showing.and_then(|s| s.review.clone()).unwrap_or_default()
+    let review = showing.and_then(|s| s.review.clone()).unwrap_or_default();
+    tally.judge(&review, p.share() < 1.0)
 }
 
 /// Whether the new version has the warm workers that a share asks for.
--- a/crates/preview/src/lib.rs
+++ b/crates/preview/src/lib.rs
@@ -12,7 +12,7 @@
 mod tally;
 
 pub use critic::{Critic, Facts, Level, Levels};
-pub use limits::{showings, FALLBACK_MS, RECORDS_KEPT, SHARE_OF_EXPOSURE, USE_PART};
+pub use limits::{showings, FALLBACK_MS, USE_PART};
 pub use rollout::{
     apply, Action, Audit, Create, Preview, PreviewChange, Refusal, Review, Showing, Side, State, Table,
 };
--- a/crates/preview/src/tally.rs
+++ b/crates/preview/src/tally.rs
@@ -234,11 +234,7 @@
                 Some(_) if part > ROUTE_PART => ROUTE_REQUESTS_MIN,
                 Some(_) => 0,
             };
-            let base = if beside && pair.old.answered() >= SLOW_ANSWERS {
-                &pair.old
-            } else {
-                &pair.ever_old
-            };
+            let (base, _) = measure(&pair.old, &pair.ever_old, beside);
             if loses(&pair.recent_new, base) {
                 let why = format!(
                     "{name}: {:.0}% without an answer",
@@ -260,6 +256,16 @@
     }
 }
 
+/// What the new version is measured by, and whether it is of the same span. What the
+/// old version still ends once all has moved is no measure.
+fn measure<'a>(old: &'a Sums, ever: &'a Sums, beside: bool) -> (&'a Sums, bool) {
+    if beside && old.answered() >= SLOW_ANSWERS {
+        (old, true)
+    } else {
+        (ever, false)
+    }
+}
+
 /// Whether the new version leaves more tries without an answer than the old one.
 fn loses(new: &Sums, base: &Sums) -> bool {
     new.lost >= LOST_MIN && new.losing() > base.losing() + LOST_ABOVE
@@ -267,9 +273,7 @@
 
 /// Why the new version is bad beside the old one, if it is.
 fn bad(new: &Sums, old: &Sums, ever: &Sums, review: &Review, beside: bool) -> Option<String> {
-    // What the old version still ends once all has moved is no measure.
-    let fresh = beside && old.answered() >= SLOW_ANSWERS;
-    let base = if fresh { old } else { ever };
+    let (base, fresh) = measure(old, ever, beside);
     let (n, rate) = (new.answered(), new.failing());
     let usual = base.failing();
     let luck = LUCK * (usual.max(0.01) * (1.0 - usual.min(0.99)) / n.max(1.0)).sqrt();
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -32,6 +32,25 @@
     last_leader: String,
 }
 
+/// Plays every scenario of a folder of this crate under a few seeds.
+pub fn play_folder(folder: &str, least: usize, seeds: u64, play: impl Fn(&str, u64)) {
+    let folder = std::path::Path::new(env!("CARGO_MANIFEST_DIR")).join(folder);
+    let mut files: Vec<_> = std::fs::read_dir(folder)
+        .expect("the folder is there")
+        .flatten()
+        .map(|e| e.path())
+        .collect();
+    files.sort();
+    assert!(files.len() >= least, "scenarios are missing");
+    for file in files {
+        let text = std::fs::read_to_string(&file).expect("readable");
+        for seed in 1..=seeds {
+            println!("{} seed {seed}", file.display());
+            play(&text, seed);
+        }
+    }
+}
+
 /// Plays a scenario; a step that fails ends the test with its line.
 pub fn play(text: &str, seed: u64) {
     let mut player = Player {
--- a/crates/rehearsal/tests/rollouts.rs
+++ b/crates/rehearsal/tests/rollouts.rs
@@ -27,7 +27,6 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 use std::collections::BTreeMap;
-use std::path::Path;
 use std::sync::Arc;
 use usher::{Found, Neighbours, Observed, Place, Request, Ticket, Usher};
 
@@ -646,19 +645,5 @@
 
 #[test]
 fn every_rollout() {
-    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join("previews");
-    let mut files: Vec<_> = std::fs::read_dir(folder)
-        .expect("the folder is there")
-        .flatten()
-        .map(|e| e.path())
-        .collect();
-    files.sort();
-    assert!(files.len() >= 10, "scenarios are missing");
-    for file in files {
-        let text = std::fs::read_to_string(&file).expect("readable");
-        for seed in 1..=3 {
-            println!("{} seed {seed}", file.display());
-            play(&text, seed);
-        }
-    }
+    rehearsal::script::play_folder("previews", 10, 3, play);
 }
--- a/crates/usher/src/seats.rs
+++ b/crates/usher/src/seats.rs
@@ -153,7 +153,8 @@
         if returned > self.returned_seen {
             self.returned_seen = returned;
             if stage.is_unread(&worker) {
-                self.cool(now, returned_cold(stage, &worker));
+                let cold_ms = stage.returned_cold_ms(&worker.service);
+                self.cool(now, cold_ms + c::COLD_MARGIN_MS);
             }
         }
     }
@@ -181,15 +182,6 @@
     born: Option<u64>,
 }
 
-/// How long a worker whose zone was taken back is cold, in ms.
-fn returned_cold(stage: &Stage, worker: &Worker) -> u64 {
-    let service = stage
-        .config
-        .as_ref()
-        .and_then(|c| c.services.get(worker.service.as_str()));
-    service.map_or(0, |s| s.cold_period_ms).max(c::RETURN_COLD_MS) + c::COLD_MARGIN_MS
-}
-
 impl Usher {
     pub fn new(zone: &str, zones: BTreeMap<String, String>, bounds: Bounds, seed: u64) -> Usher {
         Usher {
@@ -330,7 +322,7 @@
         if let Some(pool) = self.pools.get(&key) {
             return Some(pool.clone());
         }
-        let known = self.stage.config.as_ref()?.services.get(service)?;
+        let known = self.stage.service(service)?;
         let of = self.by_service.get(service)?.iter();
         let all = of.filter_map(|id| self.seats.get(id).map(|s| s.worker.clone()));
         let workers: Vec<Arc<Worker>> = if side == Side::New {
@@ -503,8 +495,7 @@
         if !cast.contains(&self.neighbours.me) {
             return false;
         }
-        let config = self.stage.config.as_ref();
-        let service = config.and_then(|c| c.services.get(seat.worker.service.as_str()));
+        let service = self.stage.service(&seat.worker.service);
         let shares = cold_bound(service, &self.bounds) / cast.len();
         // Without a figure, one a second.
         let rate = service.map_or(0.0, |s| s.cold_rate);
