A ledger of orders in the control state: taken is never refused, by any leader

Cause: only the newest configuration's order was known when it came again; the order of 2 on 1 sent again after 3 got 412 (real processes). Evacuations were known by process memory and a clock.

A modify is logged as the change it is. Nobody uses tags yet.

Ruled out: remembering refusals of every kind (bases only go up, so all but those ahead of their base stay refused); joining by time in the log (it has no clock).

--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -120,9 +120,22 @@
 /// A call passed on to the leader is given up after this time, ms: the caller
 /// moves on after a second of silence.
 pub const CALL_WAIT_MS: u64 = 900;
-/// An order about a zone that comes again within this time is the same order,
-/// ms: callers resend after a second of silence and a growing pause.
+/// An order without a base that comes again as it was within this time is taken for
+/// the same order, ms: callers resend after a second of silence and a growing pause.
 pub const SAME_ORDER_MS: u64 = 3000;
+/// Configuration orders taken that the ledger remembers, orders: an order under way
+/// for longer than so many changes later gets no clear answer. Eight may be under way
+/// at once; some 25 bytes each.
+pub const TAKEN_KEPT: usize = 256;
+/// Refused configuration orders on bases that are not there yet which the ledger
+/// remembers, orders: no proper operator sends one.
+pub const AHEAD_KEPT: usize = 16;
+/// Other orders that the ledger remembers, orders: far more than a node passes on
+/// within [`CALL_WAIT_MS`]; some 50 bytes each.
+pub const ORDERS_KEPT: usize = 64;
+/// A node that has heard nothing of the core for this long answers orders at once and
+/// names nodes that may know better, ms: an election takes less.
+pub const OUT_OF_CONTACT_MS: u64 = 1500;
 /// Pause between two looks for a leader while a call waits, ms.
 pub const CALL_RETRY_MS: u64 = 100;
 /// A node that has heard no leader for this long after its start looks for the
--- a/crates/playbill/src/letters.rs
+++ b/crates/playbill/src/letters.rs
@@ -108,11 +108,11 @@
 pub struct ReplaceOrder {
     #[prost(uint64, tag = "1")]
     pub base: u64,
-    /// The whole configuration; in an [`Order::Modify`], the change to it.
+    /// The whole configuration; in an [`Order::Modify`], the change to it. Empty in
+    /// the log where the amendment says it all.
     #[prost(bytes = "vec", tag = "2")]
     pub body: Vec<u8>,
-    /// The body of the `modify` that the configuration was made by, so that the
-    /// same order is known when it comes again; empty for a `replace`.
+    /// The body of a `modify`; empty for a `replace`.
     #[prost(bytes = "vec", tag = "3")]
     pub amendment: Vec<u8>,
 }
@@ -306,6 +306,68 @@
 pub struct Change {
     #[prost(oneof = "ChangeKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
     pub kind: Option<ChangeKind>,
+    /// Of an order that names no base: what it is known by when it comes again.
+    #[prost(message, optional, tag = "10")]
+    pub tag: Option<OrderTag>,
+}
+
+/// What an order is known by that names no base to compare with.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct OrderTag {
+    /// The life of the process that the operator's call reached, and its number there.
+    #[prost(fixed64, tag = "1")]
+    pub life: u64,
+    #[prost(uint64, tag = "2")]
+    pub number: u64,
+    /// The index that the node stood at when the call reached it: whatever came of
+    /// the order stands behind it in the log.
+    #[prost(uint64, tag = "3")]
+    pub as_of: u64,
+    /// What the order is about (a zone, a service), and the order itself as it was
+    /// sent, each by its digest.
+    #[prost(fixed64, tag = "4")]
+    pub subject: u64,
+    #[prost(fixed64, tag = "5")]
+    pub digest: u64,
+    /// The index of the order that the leader takes this one to repeat; 0 for none.
+    #[prost(uint64, tag = "6")]
+    pub again: u64,
+}
+
+/// What the control state remembers of orders that were judged.
+#[derive(Clone, PartialEq, Message)]
+pub struct LedgerImage {
+    #[prost(message, repeated, tag = "1")]
+    pub taken: Vec<TakenOrder>,
+    #[prost(message, repeated, tag = "2")]
+    pub ahead: Vec<TakenOrder>,
+    #[prost(message, repeated, tag = "3")]
+    pub orders: Vec<JudgedOrder>,
+    /// The newest base and index that have been forgotten; 0 for none.
+    #[prost(uint64, optional, tag = "4")]
+    pub forgotten_base: Option<u64>,
+    #[prost(uint64, tag = "5")]
+    pub forgotten_index: u64,
+}
+
+/// A configuration order: the base that it names and its digest.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct TakenOrder {
+    #[prost(uint64, tag = "1")]
+    pub base: u64,
+    #[prost(bytes = "vec", tag = "2")]
+    pub digest: Vec<u8>,
+}
+
+/// An order with a tag that was judged.
+#[derive(Clone, PartialEq, Eq, Message)]
+pub struct JudgedOrder {
+    #[prost(uint64, tag = "1")]
+    pub index: u64,
+    #[prost(message, optional, tag = "2")]
+    pub tag: Option<OrderTag>,
+    #[prost(bool, tag = "3")]
+    pub taken: bool,
 }
 
 #[derive(Clone, PartialEq, Oneof)]
@@ -491,7 +553,8 @@
     /// Zones taken back from an evacuation, and the index at which they were.
     #[prost(message, repeated, tag = "10")]
     pub returned: Vec<ZoneReturn>,
-    /// The `modify` that the configuration was made by, if it was.
+    /// The `modify` that the configuration was made by, in images older than the
+    /// ledger.
     #[prost(bytes = "vec", tag = "11")]
     pub amendment: Vec<u8>,
     #[prost(string, repeated, tag = "12")]
@@ -502,6 +565,8 @@
     pub rollouts: Vec<Preview>,
     #[prost(message, optional, tag = "16")]
     pub kill_switch: Option<KillSwitch>,
+    #[prost(message, optional, tag = "17")]
+    pub ledger: Option<LedgerImage>,
 }
 
 #[derive(Clone, PartialEq, Message)]
--- a/crates/playbill/src/stage.rs
+++ b/crates/playbill/src/stage.rs
@@ -4,6 +4,7 @@
 use crate::amend::amend;
 use crate::config::{Configuration, Fault, Service};
 use crate::constants as c;
+use crate::ledger::{key_of, Known, Ledger};
 use crate::letters::*;
 use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
@@ -34,6 +35,9 @@
     Invalid(Fault),
     /// A change of a rollout does not take place.
     Refused(Refusal),
+    /// The order may have been judged, longer ago than the ledger remembers: it is not
+    /// carried out, and nothing is promised.
+    Unclear,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -41,9 +45,8 @@
     pub index: u64,
     pub config: Option<Arc<Configuration>>,
     pub config_body: Arc<Vec<u8>>,
-    pub config_base: u64,
-    /// The `modify` that the configuration was made by; empty for a `replace`.
-    pub config_amendment: Arc<Vec<u8>>,
+    /// The orders that were judged, for when one comes again.
+    pub ledger: Arc<Ledger>,
     /// Evacuated zones, and how many evacuations of each are in force: two
     /// operators may empty the same zone, and each takes its own back.
     pub evacuated: BTreeMap<String, u32>,
@@ -83,16 +86,6 @@
         period.max(c::RETURN_COLD_MS)
     }
 
-    /// Whether the configuration in force came of this very order.
-    fn is_in_force(&self, order: &ReplaceOrder) -> bool {
-        let same = if order.amendment.is_empty() {
-            self.config_amendment.is_empty() && order.body == *self.config_body
-        } else {
-            order.amendment == *self.config_amendment
-        };
-        self.config.is_some() && order.base == self.config_base && same
-    }
-
     /// What a `modify` comes to: the order to replace the whole configuration
     /// by what it makes of the one in force.
     pub fn amended(&self, modify: ReplaceOrder) -> Result<ReplaceOrder, Outcome> {
@@ -101,26 +94,28 @@
             body: Vec::new(),
             amendment: modify.body,
         };
-        if self.is_in_force(&order) {
-            return Err(Outcome::Already);
-        }
-        if order.base != self.version() {
-            return Err(Outcome::Lost(self.version()));
-        }
+        self.known_configuration(&order)?;
         let body = amend(&self.config_body, &order.amendment).map_err(Outcome::Invalid)?;
         Ok(ReplaceOrder { body, ..order })
     }
 
-    /// What replacing the configuration would come to, without doing it.
-    pub fn judge_replace(&self, order: &ReplaceOrder) -> Result<Configuration, Outcome> {
+    /// What the ledger says of a configuration order that is not to be judged anew.
+    fn known_configuration(&self, order: &ReplaceOrder) -> Result<(), Outcome> {
         let current = self.version();
-        if self.is_in_force(order) {
-            return Err(Outcome::Already);
+        match self.ledger.configuration(&key_of(order), current) {
+            Known::New => Ok(()),
+            Known::Taken => Err(Outcome::Already),
+            Known::Refused => Err(Outcome::Lost(current)),
+            Known::Unclear => Err(Outcome::Unclear),
         }
+    }
+
+    /// What replacing the configuration would come to, without doing it. Binding only
+    /// where the log says it: a copy may be behind.
+    pub fn judge_replace(&self, order: &ReplaceOrder) -> Result<Configuration, Outcome> {
+        let current = self.version();
+        self.known_configuration(order)?;
         let config = Configuration::parse(&order.body).map_err(Outcome::Invalid)?;
-        if order.base != current {
-            return Err(Outcome::Lost(current));
-        }
         if config.version <= current {
             return Err(Outcome::Invalid(Fault(format!(
                 "Version {} is not above the current {current}",
@@ -130,6 +125,55 @@
         Ok(config)
     }
 
+    /// Carries out a configuration order.
+    fn replace(&mut self, order: ReplaceOrder) -> Outcome {
+        let (key, before) = (key_of(&order), self.version());
+        // The log holds of a `modify` only what it changes.
+        let order = if order.body.is_empty() && !order.amendment.is_empty() {
+            self.amended(ReplaceOrder {
+                base: order.base,
+                body: order.amendment,
+                amendment: Vec::new(),
+            })
+        } else {
+            Ok(order)
+        };
+        let judged = order.and_then(|order| Ok((self.judge_replace(&order)?, order)));
+        let ledger = Arc::make_mut(&mut self.ledger);
+        match judged {
+            Ok((config, order)) => {
+                ledger.take_configuration(key, config.version);
+                self.config = Some(Arc::new(config));
+                self.config_body = Arc::new(order.body);
+                self.drop_unknown();
+                Outcome::Applied
+            }
+            Err(outcome) => {
+                if matches!(outcome, Outcome::Lost(_)) {
+                    ledger.refuse_ahead(key, before);
+                }
+                outcome
+            }
+        }
+    }
+
+    /// Begins an evacuation of a zone, or takes one back.
+    fn evacuate(&mut self, index: u64, e: EvacuationChange) -> Outcome {
+        if e.begin {
+            *self.evacuated.entry(e.zone).or_default() += 1;
+            return Outcome::Applied;
+        }
+        match self.evacuated.get_mut(&e.zone) {
+            Some(count) if *count > 1 => *count -= 1,
+            Some(_) => {
+                self.evacuated.remove(&e.zone);
+                self.returned.insert(e.zone, index);
+            }
+            None => return Outcome::Already,
+        }
+        Outcome::Applied
+    }
+
     /// Applies the change at `index`. Changes at or below the index that the
     /// copy stands at have been applied already and do nothing.
     pub fn apply(&mut self, index: u64, data: &[u8]) -> Outcome {
@@ -140,37 +184,26 @@
         let Ok(change) = Change::decode(data) else {
             return Outcome::Invalid(Fault("a change that cannot be read".into()));
         };
-        match change.kind {
-            Some(ChangeKind::Replace(order)) => match self.judge_replace(&order) {
-                Ok(config) => {
-                    self.config = Some(Arc::new(config));
-                    self.config_body = Arc::new(order.body);
-                    self.config_base = order.base;
-                    self.config_amendment = Arc::new(order.amendment);
-                    self.drop_unknown();
-                    Outcome::Applied
-                }
-                Err(outcome) => outcome,
-            },
-            Some(ChangeKind::Evacuate(e)) => {
-                let changed = if e.begin {
-                    *self.evacuated.entry(e.zone).or_default() += 1;
-                    true
-                } else if let Some(count) = self.evacuated.get_mut(&e.zone).filter(|count| **count > 1) {
-                    *count -= 1;
-                    true
-                } else if self.evacuated.remove(&e.zone).is_some() {
-                    self.returned.insert(e.zone, index);
-                    true
-                } else {
-                    false
-                };
-                if changed {
-                    Outcome::Applied
-                } else {
-                    Outcome::Already
-                }
+        let Some(tag) = change.tag else {
+            return self.carry_out(index, change.kind);
+        };
+        match self.ledger.order(&tag) {
+            (Known::Taken, _) => Outcome::Already,
+            (Known::Refused, at) => Outcome::Refused(Refusal::Conflict(at)),
+            (Known::Unclear, _) => Outcome::Unclear,
+            (Known::New, _) => {
+                let outcome = self.carry_out(index, change.kind);
+                let taken = matches!(outcome, Outcome::Applied | Outcome::Already);
+                Arc::make_mut(&mut self.ledger).judged(index, tag, taken);
+                outcome
             }
+        }
+    }
+
+    fn carry_out(&mut self, index: u64, kind: Option<ChangeKind>) -> Outcome {
+        match kind {
+            Some(ChangeKind::Replace(order)) => self.replace(order),
+            Some(ChangeKind::Evacuate(e)) => self.evacuate(index, e),
             Some(ChangeKind::Workers(w)) => {
                 let workers = Arc::make_mut(&mut self.workers);
                 for id in &w.gone {
@@ -357,8 +390,10 @@
             index: self.index,
             version: self.version(),
             configuration: self.config_body.to_vec(),
-            base: self.config_base,
-            amendment: self.config_amendment.to_vec(),
+            // As the ledger tells them now.
+            base: 0,
+            amendment: Vec::new(),
+            ledger: Some(self.ledger.image()),
             benched: self.benched.iter().cloned().collect(),
             rollouts: self.rollouts.values().map(|p| (**p).clone()).collect(),
             kill_switch: self.kill_switch.clone(),
@@ -428,6 +463,10 @@
 
     /// The state that an image holds; `None` if its configuration is unreadable.
     pub fn from_image(image: StageImage) -> Option<Stage> {
+        let ledger = match image.ledger {
+            Some(ledger) => Ledger::from_image(ledger),
+            None => Ledger::of_one(image.base, &image.configuration, &image.amendment, image.version),
+        };
         let config = if image.version == 0 {
             None
         } else {
@@ -437,8 +476,7 @@
             index: image.index,
             config,
             config_body: Arc::new(image.configuration),
-            config_base: image.base,
-            config_amendment: Arc::new(image.amendment),
+            ledger: Arc::new(ledger),
             evacuated: image
                 .evacuated
                 .into_iter()
@@ -485,7 +523,16 @@
 
 /// Encodes a change for the log.
 pub fn encode_change(kind: ChangeKind) -> Vec<u8> {
-    Change { kind: Some(kind) }.encode_to_vec()
+    encode_order(kind, None)
+}
+
+/// Encodes a change that an order asks for; with a tag if it names no base.
+pub fn encode_order(kind: ChangeKind, tag: Option<OrderTag>) -> Vec<u8> {
+    Change {
+        kind: Some(kind),
+        tag,
+    }
+    .encode_to_vec()
 }
 
 #[cfg(test)]
--- a/crates/understudy/src/lib.rs
+++ b/crates/understudy/src/lib.rs
@@ -39,8 +39,7 @@
     };
     if wanted(0) {
         part.version = image.version;
-        part.base = image.base;
-        part.amendment = image.amendment.clone();
+        part.ledger = image.ledger.clone();
         part.configuration = image.configuration.clone();
     }
     if wanted(1) {
@@ -123,8 +122,7 @@
     image.index = mend.index;
     if given(0) {
         image.version = newer.version;
-        image.base = newer.base;
-        image.amendment = newer.amendment.clone();
+        image.ledger = newer.ledger.clone();
         image.configuration = newer.configuration.clone();
     }
     if given(1) {
