A type that pairs answers with calls: life of the caller, peer asked, number

Cause: calls passed to the leader are paired by a counter that starts at 0 in each life, whoever answers. A late answer to a call of the life before reaches a new caller.

Change: `playbill::pairing`: `Calls` opens calls under a `CallId` (a life drawn at random at the start of the process, a number used once) and yields what waits only to the peer asked, in that life, in time, once. Open calls are bounded by their deadline; answers to no open call are counted by reason.

Ruled out: the node's identity in place of a life (it outlasts a restart); numbers kept on disk (nodes without one ask too).

Not used yet.

--- a/crates/playbill/src/lib.rs
+++ b/crates/playbill/src/lib.rs
@@ -7,10 +7,12 @@
 pub mod constants;
 pub mod ledger;
 pub mod letters;
+pub mod pairing;
 pub mod settings;
 pub mod span;
 pub mod stage;
 
 pub use config::{Configuration, Route, RouteKind, Service};
+pub use pairing::{CallId, Calls, Life};
 pub use settings::Settings;
 pub use stage::Stage;
