Orders are judged by the log or a copy that a majority has just confirmed

Cause: JudgeReplace and Amend refused out of the leader's own copy, IsResent confirmed out of process memory: a leader that was cut off, frozen or deposed refused good orders by old state. An order passed on twice by Take could count twice. A late answer to a call of the life before could reach a new caller (numbers began at 0 in each life); a mend was taken from anybody.

Change: a refusal or confirmation without an entry of its own follows a read-index round; all else comes from the log. Orders without a base carry a tag made where the call arrived; the leader says in the log which order it takes one to repeat. Answers and mends are paired by life, peer and number. status is answered by the node itself if no leader can be reached, with its silence. An order waits for its own index, not the newest. One entry for equal configuration orders under way; if another leader's entry takes the place the waiters hear no clear answer.

Ruled out: the caller's address in the identity of an evacuation (callers may have several).

--- a/crates/playbill/src/letters.rs
+++ b/crates/playbill/src/letters.rs
@@ -1,5 +1,6 @@
 //! Messages between nodes, and the changes that the log orders.
 
+use crate::ledger::short_digest;
 use preview::{Create, Preview, PreviewChange, Trial};
 use prost::{Message, Oneof};
 use std::collections::BTreeMap;
@@ -26,7 +27,7 @@
     #[prost(bytes, tag = "3")]
     Agreement(Vec<u8>),
     #[prost(message, tag = "4")]
-    Call(ControlCall),
+    Call(Box<ControlCall>),
     #[prost(message, tag = "5")]
     Answer(ControlAnswer),
     #[prost(message, tag = "6")]
@@ -34,7 +35,7 @@
     #[prost(message, tag = "7")]
     Digests(Digests),
     #[prost(message, tag = "8")]
-    Mend(Mend),
+    Mend(Box<Mend>),
     /// Nothing but the connection that carries it.
     #[prost(bool, tag = "10")]
     Hello(bool),
@@ -43,10 +44,16 @@
 /// A call of the operator, passed on to the leader.
 #[derive(Clone, PartialEq, Message)]
 pub struct ControlCall {
+    /// The number of the call within the life of the process that passes it on.
     #[prost(uint64, tag = "1")]
     pub id: u64,
     #[prost(oneof = "Order", tags = "2, 3, 4, 5, 6, 7, 8, 9, 10, 11")]
     pub order: Option<Order>,
+    #[prost(fixed64, tag = "12")]
+    pub life: u64,
+    /// Of an order that names no base.
+    #[prost(message, optional, tag = "13")]
+    pub tag: Option<OrderTag>,
 }
 
 #[derive(Clone, PartialEq, Oneof)]
@@ -80,6 +87,26 @@
     Rollouts(bool),
 }
 
+impl Order {
+    /// What an order without a base is about, and the order itself as it was sent, each
+    /// by its digest; `None` for reads and for orders that name a base.
+    pub fn digests(&self) -> Option<(u64, u64)> {
+        let subject: [&[u8]; 2] = match self {
+            Order::Evacuate(e) => [b"zone", e.zone.as_bytes()],
+            Order::Begin(order) => [b"service", order.service.as_bytes()],
+            Order::Steer(change) => [b"service", change.service.as_bytes()],
+            Order::KillSwitch(_) => [b"switch", b""],
+            _ => return None,
+        };
+        let sent = ControlCall {
+            order: Some(self.clone()),
+            ..Default::default()
+        };
+        let digest = short_digest(&[&sent.encode_to_vec()]);
+        Some((short_digest(&subject), digest))
+    }
+}
+
 /// An order to move a service to a new version.
 #[derive(Clone, PartialEq, Message)]
 pub struct BeginOrder {
@@ -120,8 +147,11 @@
 /// The answer to a call of the operator.
 #[derive(Clone, PartialEq, Message)]
 pub struct ControlAnswer {
+    /// The number and the life that the call named.
     #[prost(uint64, tag = "1")]
     pub id: u64,
+    #[prost(fixed64, tag = "4")]
+    pub life: u64,
     #[prost(uint32, tag = "2")]
     pub status: u32,
     #[prost(bytes = "vec", tag = "3")]
@@ -288,6 +318,11 @@
     pub index: u64,
     #[prost(uint64, repeated, tag = "2")]
     pub ranges: Vec<u64>,
+    /// The life that asks, and its number of the question.
+    #[prost(fixed64, tag = "3")]
+    pub life: u64,
+    #[prost(uint64, tag = "4")]
+    pub id: u64,
 }
 
 /// The rows of ranges that differ, from the newer copy.
@@ -299,6 +334,11 @@
     pub ranges: Vec<u32>,
     #[prost(message, optional, tag = "3")]
     pub image: Option<StageImage>,
+    /// The life and the number of the question that it answers.
+    #[prost(fixed64, tag = "4")]
+    pub life: u64,
+    #[prost(uint64, tag = "5")]
+    pub id: u64,
 }
 
 /// One change to the control state, as the log orders it.
--- a/crates/playhouse/src/conductor/mod.rs
+++ b/crates/playhouse/src/conductor/mod.rs
@@ -15,12 +15,13 @@
 use orders::{answer, carry_out, NOT_LEADER};
 use playbill::constants as c;
 use playbill::letters::*;
+use playbill::pairing::{CallId, Calls, Life};
 use playbill::stage::Outcome;
 use playbill::Stage;
 use prompter::{Cue, EntryKind, Following, Prompter, Role, Snapshot, Timing, Write};
 use prost::Message as _;
 use rand::Rng;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::oneshot;
@@ -79,6 +80,7 @@
     standing.term = prompter.term();
     house.standing.set(standing);
     house.stage.set(stage.clone());
+    let life = Life(rand::thread_rng().gen());
     let conductor = Conductor {
         house: house.clone(),
         prompter,
@@ -90,12 +92,13 @@
         waiting: VecDeque::new(),
         written_at: 0,
         proposals: HashMap::new(),
-        joined: HashMap::new(),
         reads: HashMap::new(),
-        next_token: 0,
-        calls: HashMap::new(),
+        last_read: 0,
+        calls: Calls::new(life, c::CALL_WAIT_MS),
+        mends: Calls::new(life, c::CONTACT_MS),
+        last_order: 0,
+        orders_seen: BTreeMap::new(),
         appoints: 0,
-        evacuations: HashMap::new(),
         said: None,
         started: house.now(),
         asked_peers: 0,
@@ -139,7 +142,15 @@
 type Held = (u64, Vec<(u64, Cue)>, (u64, u64));
 /// Nodes kept that have introduced themselves, nodes.
 const INTRODUCED_KEPT: usize = 256;
-type Waiter = oneshot::Sender<Option<Outcome>>;
+type Waiter = oneshot::Sender<orders::Settled>;
+
+/// A change of this leader that waits in the log.
+struct Proposal {
+    term: u64,
+    /// Of a configuration order, so that the same order sent again joins it.
+    key: Option<TakenOrder>,
+    waiters: Vec<Waiter>,
+}
 
 pub struct Conductor {
     house: Rc<House>,
@@ -153,15 +164,18 @@
     /// Messages and the last entry that wait for a write.
     waiting: VecDeque<Held>,
     written_at: u64,
-    proposals: HashMap<u64, (u64, Vec<Waiter>)>,
-    /// Orders on their way, so that the same order sent again joins them.
-    joined: HashMap<Vec<u8>, u64>,
+    proposals: HashMap<u64, Proposal>,
     reads: HashMap<u64, oneshot::Sender<bool>>,
-    next_token: u64,
-    calls: HashMap<u64, oneshot::Sender<ControlAnswer>>,
+    last_read: u64,
+    /// Calls passed on, by the node asked.
+    calls: Calls<u64, oneshot::Sender<ControlAnswer>>,
+    /// Peers asked for what this copy lacks.
+    mends: Calls<u64, ()>,
+    /// The last number given to an order that reached this process.
+    last_order: u64,
+    /// When each order of the ledger was first seen here.
+    orders_seen: BTreeMap<u64, u64>,
     appoints: u64,
-    /// When an evacuation of a zone was last begun or taken back here.
-    evacuations: HashMap<(String, bool), u64>,
     said: Option<(u64, u64, bool, u64, bool)>,
     started: u64,
     asked_peers: u64,
@@ -337,9 +351,9 @@
         }
         self.house.stage.set(self.stage.clone());
         self.prompter.applied(entry.index);
-        self.joined.retain(|_, index| *index != entry.index);
-        if let Some((term, waiters)) = self.proposals.remove(&entry.index) {
-            let told = if term == entry.term { outcome } else { None };
+        if let Some(Proposal { term, waiters, .. }) = self.proposals.remove(&entry.index) {
+            // Another leader's entry may have taken the place.
+            let told = outcome.filter(|_| term == entry.term).map(|o| (o, entry.index));
             for waiter in waiters {
                 let _ = waiter.send(told.clone());
             }
@@ -347,6 +361,7 @@
     }
 
     fn publish(&mut self) {
+        self.see_orders();
         let now = self.house.now();
         // Through a voter or from the leader itself; asking a voter does not count.
         let heard = match () {
@@ -371,12 +386,8 @@
                 now.term
             );
             if !now.is_leader {
-                self.joined.clear();
-                for (_, (_, waiters)) in self.proposals.drain() {
-                    for waiter in waiters {
-                        let _ = waiter.send(None);
-                    }
-                }
+                // Whether they will stand is not known here: no clear answer.
+                self.proposals.clear();
             }
         }
         if now.current && !before.current {
@@ -441,8 +452,8 @@
 impl Handler<Propose> for Conductor {
     type Result = ResponseFuture<Option<Outcome>>;
     fn handle(&mut self, Propose(kind): Propose, _: &mut Self::Context) -> Self::Result {
-        let rx = self.propose(kind);
-        Box::pin(async move { rx.await.ok().flatten() })
+        let rx = self.propose(kind, None);
+        Box::pin(async move { rx.await.ok().flatten().map(|(outcome, _)| outcome) })
     }
 }
 
@@ -505,18 +516,19 @@
                 self.flush();
             }
             Some(Matter::Call(call)) => {
-                let Some(order) = call.order else { return };
+                let ControlCall { id, life, order, tag } = *call;
+                let Some(order) = order else { return };
                 let me = ctx.address();
-                let leads = self.prompter.is_leader();
+                let leads = self.prompter.is_leader() && self.silent_ms() < c::ELECTION_MIN_MS;
                 let house = self.house.clone();
                 actix_rt::spawn(async move {
                     let done = if leads {
-                        carry_out(me, order).await
+                        carry_out(me, order, tag).await
                     } else {
                         answer(NOT_LEADER, "")
                     };
                     if let Some(post) = house.get::<Addr<Post>>() {
-                        let matter = Matter::Answer(ControlAnswer { id: call.id, ..done });
+                        let matter = Matter::Answer(ControlAnswer { id, life, ..done });
                         post.do_send(Send {
                             to: letter.reply_to,
                             matter,
@@ -525,16 +537,32 @@
                 });
             }
             Some(Matter::Answer(answer)) => {
-                if let Some(tx) = self.calls.remove(&answer.id) {
-                    let _ = tx.send(answer);
+                let call = CallId {
+                    life: Life(answer.life),
+                    number: answer.id,
+                };
+                match self.calls.finish(&letter.from, call, self.house.now()) {
+                    Some(tx) => {
+                        let _ = tx.send(answer);
+                    }
+                    None => self.house.counters.add("answers_unknown"),
                 }
             }
             Some(Matter::Digests(theirs)) if self.house.standing.get().current => {
                 if let Some(mend) = understudy::mend_for(&self.stage, &theirs) {
-                    self.post(letter.reply_to, Matter::Mend(mend));
+                    self.post(letter.reply_to, Matter::Mend(Box::new(mend)));
                 }
             }
             Some(Matter::Mend(mend)) => {
+                let call = CallId {
+                    life: Life(mend.life),
+                    number: mend.id,
+                };
+                let asked = self.mends.finish(&letter.from, call, self.house.now());
+                if asked.is_none() {
+                    self.house.counters.add("answers_unknown");
+                    return;
+                }
                 if self.house.standing.get().current && !self.mended {
                     return;
                 }
--- a/crates/playhouse/src/conductor/orders.rs
+++ b/crates/playhouse/src/conductor/orders.rs
@@ -1,44 +1,127 @@
 //! Orders of the operator: taken on any node, carried out by the leader.
 
-use super::{rollouts, Conductor, Propose};
+use super::Proposal;
+use super::{rollouts, Conductor};
 use actix::prelude::*;
 use playbill::constants as c;
+use playbill::ledger::key_of;
 use playbill::letters::*;
-use playbill::stage::{encode_change, Outcome};
+use playbill::stage::{encode_order, Outcome};
 use prompter::bears;
+use rand::seq::SliceRandom;
+use std::collections::BTreeSet;
 use std::time::Duration;
 use tokio::sync::oneshot;
 
-/// An order of the operator, from this node's control or another node's.
+/// An order of the operator, from this node's control.
 #[derive(Message)]
 #[rtype(result = "ControlAnswer")]
 pub struct Take(pub Order);
 
+/// Nodes named by a node out of contact, nodes.
+const NAMED: usize = 3;
+
+/// What a change came to, and its index in the log.
+pub(super) type Settled = Option<(Outcome, u64)>;
+
 impl Conductor {
-    pub(super) fn propose(&mut self, kind: ChangeKind) -> oneshot::Receiver<Option<Outcome>> {
+    /// Puts a change into the log. A configuration order that is on its way already is
+    /// joined: its entry comes to the same, whoever asked.
+    pub(super) fn propose(&mut self, kind: ChangeKind, tag: Option<OrderTag>) -> oneshot::Receiver<Settled> {
         let (tx, rx) = oneshot::channel();
-        let data = encode_change(kind);
-        if let Some(index) = self.joined.get(&data) {
-            if let Some((_, waiters)) = self.proposals.get_mut(index) {
-                waiters.push(tx);
-                return rx;
-            }
+        let key = match &kind {
+            ChangeKind::Replace(order) => Some(key_of(order)),
+            _ => None,
+        };
+        let under_way = |(_, p): &(&u64, &Proposal)| key.is_some() && p.key == key;
+        let joined = self.proposals.iter().find(under_way).map(|(index, _)| *index);
+        if let Some(p) = joined.and_then(|index| self.proposals.get_mut(&index)) {
+            p.waiters.push(tx);
+            return rx;
         }
         if self.prompter.is_settled() {
-            if let Some((index, term)) = self.prompter.propose(data.clone()) {
-                self.proposals.insert(index, (term, vec![tx]));
-                self.joined.insert(data, index);
+            if let Some((index, term)) = self.prompter.propose(encode_order(kind, tag)) {
+                let waiters = vec![tx];
+                self.proposals.insert(index, Proposal { term, key, waiters });
                 self.flush();
             }
         }
         rx
     }
 
+    /// Puts an order into the log; one that is taken for one sent again says so there.
+    fn propose_order(&mut self, kind: ChangeKind, tag: Option<OrderTag>) -> oneshot::Receiver<Settled> {
+        let tag = tag.map(|tag| OrderTag {
+            again: self.resent(&tag).unwrap_or(0),
+            ..tag
+        });
+        self.propose(kind, tag)
+    }
+
+    /// The index of the order that this one most likely repeats: the newest on its
+    /// subject, if it was the same and came a moment ago as far as this node has seen.
+    /// What is byte for byte alike cannot be told apart any better; the log has the
+    /// last word, and holds it for all leaders.
+    fn resent(&self, tag: &OrderTag) -> Option<u64> {
+        let index = self.stage.ledger.newest_alike(tag)?;
+        let seen = self.orders_seen.get(&index)?;
+        (self.house.now().saturating_sub(*seen) < c::SAME_ORDER_MS).then_some(index)
+    }
+
+    /// Notes when the orders of the ledger were first seen here.
+    pub(super) fn see_orders(&mut self) {
+        let now = self.house.now();
+        let known: BTreeSet<u64> = self.stage.ledger.indexes().collect();
+        self.orders_seen.retain(|index, _| known.contains(index));
+        for index in known {
+            self.orders_seen.entry(index).or_insert(now);
+        }
+    }
+
+    /// How long this node has had no word of a majority of the core, ms, by the clock
+    /// at this moment: after a pause of the process the first thing that runs may be an
+    /// order.
+    pub(super) fn silent_ms(&self) -> u64 {
+        let now = self.house.now();
+        now.saturating_sub(self.prompter.contact_at(now))
+    }
+
+    /// What a node out of contact says at once: it names nodes that may know better.
+    fn refer(&self) -> ControlAnswer {
+        let port = self
+            .house
+            .settings
+            .get()
+            .network
+            .listen_points
+            .control
+            .map_or(0, |a| a.port());
+        let control = |address: &str| {
+            let ip = address.rsplit_once(':').map_or(address, |(ip, _)| ip);
+            format!("{ip}:{port}")
+        };
+        let me = self.prompter.id();
+        let members = self.house.members.get();
+        let able = members.iter().filter(|m| m.id != me && m.is_alive() && m.ready);
+        let mut nodes: Vec<String> = able.map(|m| control(&m.address)).collect();
+        nodes.shuffle(&mut rand::thread_rng());
+        nodes.truncate(NAMED);
+        // Nobody who could be in contact is in reach from here.
+        let status = if nodes.is_empty() { 503 } else { 307 };
+        if nodes.is_empty() {
+            let voters = self.prompter.roll().voters.iter().filter(|v| v.id != me);
+            nodes.extend(voters.map(|v| control(&v.address)));
+        }
+        let text = format!("no word of a majority for {} ms", self.silent_ms());
+        let body = serde_json::json!({ "ErrorText": text, "Nodes": nodes });
+        answer(status, body.to_string())
+    }
+
     pub(super) fn read(&mut self) -> oneshot::Receiver<bool> {
         let (tx, rx) = oneshot::channel();
-        self.next_token += 1;
-        self.reads.insert(self.next_token, tx);
-        self.prompter.read(self.next_token);
+        self.last_read += 1;
+        self.reads.insert(self.last_read, tx);
+        self.prompter.read(self.last_read);
         self.flush();
         rx
     }
@@ -86,7 +169,8 @@
             .map(|f| serde_json::json!({"service": f.service, "group": f.group, "site": f.site, "part": f.part}))
             .collect();
         let value = serde_json::json!({
-            "leader": self.prompter.leader() == self.prompter.id() && self.prompter.is_leader(),
+            "leader": self.prompter.is_leader(), "leader_id": self.prompter.leader(),
+            "silent_ms": self.silent_ms(), "in_contact": self.silent_ms() < c::OUT_OF_CONTACT_MS,
             "lease": self.prompter.holds_lease(now),
             "term": self.prompter.term(), "commit": self.prompter.commit(), "index": self.stage.index,
             "version": self.stage.version(), "evacuated": self.stage.evacuated,
@@ -99,9 +183,9 @@
 
 pub(super) fn answer(status: u32, body: impl Into<Vec<u8>>) -> ControlAnswer {
     ControlAnswer {
-        id: 0,
         status,
         body: body.into(),
+        ..Default::default()
     }
 }
 
@@ -113,7 +197,11 @@
 pub(super) const NOT_LEADER: u32 = 0;
 
 /// Carries an order out on the leader.
-pub(super) async fn carry_out(conductor: Addr<Conductor>, order: Order) -> ControlAnswer {
+pub(super) async fn carry_out(
+    conductor: Addr<Conductor>,
+    order: Order,
+    tag: Option<OrderTag>,
+) -> ControlAnswer {
     match order {
         Order::Status(_) => match conductor.send(Ask(Question::Status)).await {
             Ok(body) => answer(200, body),
@@ -129,27 +217,22 @@
                 Err(_) => refusal(503, "ending"),
             }
         }
-        Order::Replace(order) => replace(conductor, order).await,
-        Order::Modify(modify) => match conductor.send(Amend(modify)).await {
-            Ok(Some(Ok(order))) => replace(conductor, order).await,
-            Ok(Some(Err(answer))) => answer,
-            _ => answer(NOT_LEADER, ""),
-        },
-        Order::Begin(order) => rollouts::begin(conductor, order).await,
+        Order::Replace(order) => configure(conductor, order).await,
+        // The log holds what changes; what it comes to is worked out where it is applied.
+        Order::Modify(modify) => {
+            let order = ReplaceOrder {
+                base: modify.base,
+                body: Vec::new(),
+                amendment: modify.body,
+            };
+            configure(conductor, order).await
+        }
+        Order::Begin(order) => rollouts::begin(conductor, order, tag).await,
         Order::Rollout(service) => rollouts::read(conductor, Some(service)).await,
         Order::Rollouts(_) => rollouts::read(conductor, None).await,
-        Order::Steer(change) => rollouts::steer(conductor, change).await,
-        Order::KillSwitch(switch) => settle(conductor, ChangeKind::KillSwitch(switch)).await,
-        Order::Evacuate(e) => match conductor.send(IsResent(e.clone())).await {
-            Ok(true) => answer(200, "{}"),
-            _ => {
-                let done = settle(conductor.clone(), ChangeKind::Evacuate(e.clone())).await;
-                if done.status == 200 {
-                    conductor.do_send(CarriedOut(e));
-                }
-                done
-            }
-        },
+        Order::Steer(change) => rollouts::steer(conductor, change, tag).await,
+        Order::KillSwitch(switch) => settle(conductor, ChangeKind::KillSwitch(switch), tag).await,
+        Order::Evacuate(e) => settle(conductor, ChangeKind::Evacuate(e), tag).await,
     }
 }
 
@@ -162,31 +245,79 @@
     matches!(good, Ok(Ok(true)))
 }
 
-async fn replace(conductor: Addr<Conductor>, order: ReplaceOrder) -> ControlAnswer {
-    match conductor.send(JudgeReplace(order.clone())).await {
-        Ok(Some(Ok(()))) => settle(conductor, ChangeKind::Replace(order)).await,
-        Ok(Some(Err(answer))) => answer,
+/// Carries out a configuration order. What is wrong with the order by itself is said at
+/// once. Whatever else is refused or confirmed without a new entry is said out of a copy
+/// that a majority has confirmed since the order came.
+async fn configure(conductor: Addr<Conductor>, order: ReplaceOrder) -> ControlAnswer {
+    let judge = |after_read| JudgeOrder {
+        order: order.clone(),
+        after_read,
+    };
+    let mut judged = conductor.send(judge(false)).await;
+    if matches!(judged, Ok(Some(Judged::ByState))) {
+        if !is_newest(&conductor).await {
+            return answer(NOT_LEADER, "");
+        }
+        judged = conductor.send(judge(true)).await;
+    }
+    match judged {
+        Ok(Some(Judged::Log)) => settle(conductor, ChangeKind::Replace(order), None).await,
+        Ok(Some(Judged::Answered(answer))) => answer,
         _ => answer(NOT_LEADER, ""),
     }
 }
 
 /// Logs a change and waits until the nodes in contact have applied it.
-pub(super) async fn settle(conductor: Addr<Conductor>, kind: ChangeKind) -> ControlAnswer {
-    let Ok(Some(outcome)) = conductor.send(Propose(kind)).await else {
-        return answer(NOT_LEADER, "");
+pub(super) async fn settle(
+    conductor: Addr<Conductor>,
+    kind: ChangeKind,
+    tag: Option<OrderTag>,
+) -> ControlAnswer {
+    let (outcome, index) = match conductor.send(ProposeOrder(kind, tag)).await {
+        Ok(Ok(Some(settled))) => settled,
+        Ok(Err(answer)) => return answer,
+        _ => return answer(NOT_LEADER, ""),
     };
     if let Some(answer) = refused(&outcome) {
         return answer;
     }
     for _ in 0..c::APPLY_WAIT_MS / 20 {
-        match conductor.send(AllApplied).await {
-            Ok(false) => actix_rt::time::sleep(Duration::from_millis(20)).await,
+        match conductor.send(Behind(index)).await {
+            Ok(true) => actix_rt::time::sleep(Duration::from_millis(20)).await,
             _ => break,
         }
     }
     answer(200, "{}")
 }
 
+/// Puts an order into the log; the answer at once if no order can be taken now.
+#[derive(Message)]
+#[rtype(result = "Result<Settled, ControlAnswer>")]
+struct ProposeOrder(ChangeKind, Option<OrderTag>);
+
+impl Handler<ProposeOrder> for Conductor {
+    type Result = ResponseFuture<Result<Settled, ControlAnswer>>;
+    fn handle(&mut self, ProposeOrder(kind, tag): ProposeOrder, _: &mut Self::Context) -> Self::Result {
+        if let Some(answer) = self.too_few() {
+            return Box::pin(async { Err(answer) });
+        }
+        let rx = self.propose_order(kind, tag);
+        Box::pin(async move { Ok(rx.await.ok().flatten()) })
+    }
+}
+
+/// Whether an order is most likely one that was taken a moment ago.
+#[derive(Message)]
+#[rtype(result = "bool")]
+pub(super) struct IsResent(pub Option<OrderTag>);
+
+impl Handler<IsResent> for Conductor {
+    type Result = bool;
+    fn handle(&mut self, IsResent(tag): IsResent, _: &mut Self::Context) -> bool {
+        tag.is_some_and(|tag| self.resent(&tag).is_some())
+    }
+}
+
 /// The answer to an order whose outcome is not that it stands.
 fn refused(outcome: &Outcome) -> Option<ControlAnswer> {
     match outcome {
@@ -197,6 +328,10 @@
         )),
         Outcome::Invalid(fault) => Some(refusal(400, &fault.0)),
         Outcome::Refused(refused) => Some(rollouts::refused(refused)),
+        Outcome::Unclear => Some(refusal(
+            503,
+            "the order may have been judged, longer ago than is remembered",
+        )),
     }
 }
 
@@ -230,45 +365,74 @@
     }
 }
 
-/// Checks an order before it is logged; `None` if this node does not lead.
+/// What becomes of a configuration order.
+enum Judged {
+    /// It is for the log to order.
+    Log,
+    /// This copy of the state would not take it.
+    ByState,
+    Answered(ControlAnswer),
+}
+
+/// Looks at a configuration order before it is logged; `None` if this node does not lead.
 #[derive(Message)]
-#[rtype(result = "Option<Result<(), ControlAnswer>>")]
-struct JudgeReplace(ReplaceOrder);
+#[rtype(result = "Option<Judged>")]
+struct JudgeOrder {
+    order: ReplaceOrder,
+    /// A majority has confirmed this copy since the order came.
+    after_read: bool,
+}
 
-impl Handler<JudgeReplace> for Conductor {
-    type Result = Option<Result<(), ControlAnswer>>;
-    fn handle(&mut self, JudgeReplace(order): JudgeReplace, _: &mut Self::Context) -> Self::Result {
+impl Handler<JudgeOrder> for Conductor {
+    type Result = Option<Judged>;
+    fn handle(&mut self, msg: JudgeOrder, _: &mut Self::Context) -> Self::Result {
         if !self.prompter.is_settled() {
             return None;
         }
-        if !bears(self.prompter.roll(), self.losses()) {
-            return Some(Err(refusal(
-                503,
-                "too few voters yet to bear the losses of Tolerance",
-            )));
+        if let Some(answer) = self.too_few() {
+            return Some(Judged::Answered(answer));
         }
-        // What the log would refuse whatever comes before it is refused now;
-        // the rest is for the log to order.
-        Some(match self.stage.judge_replace(&order) {
-            Err(outcome) if outcome != Outcome::Already => match refused(&outcome) {
-                Some(answer) => Err(answer),
-                None => Ok(()),
-            },
-            _ => Ok(()),
-        })
+        let ReplaceOrder {
+            base,
+            body,
+            amendment,
+        } = msg.order;
+        let outcome = if amendment.is_empty() {
+            let order = ReplaceOrder {
+                base,
+                body,
+                amendment,
+            };
+            self.stage.judge_replace(&order).err()
+        } else {
+            let modify = ReplaceOrder {
+                base,
+                body: amendment,
+                amendment: Vec::new(),
+            };
+            let whole = self.stage.amended(modify);
+            whole.and_then(|order| self.stage.judge_replace(&order)).err()
+        };
+        let Some(outcome) = outcome else {
+            return Some(Judged::Log);
+        };
+        // A refusal ahead of the base must be remembered to stay one.
+        if matches!(outcome, Outcome::Lost(version) if base > version) {
+            return Some(Judged::Log);
+        }
+        if !msg.after_read {
+            return Some(Judged::ByState);
+        }
+        let answered = refused(&outcome).unwrap_or_else(|| answer(200, "{}"));
+        Some(Judged::Answered(answered))
     }
 }
 
-/// What a `modify` comes to on this node; `None` if it does not lead.
-#[derive(Message)]
-#[rtype(result = "Option<Result<ReplaceOrder, ControlAnswer>>")]
-struct Amend(ReplaceOrder);
-
-impl Handler<Amend> for Conductor {
-    type Result = Option<Result<ReplaceOrder, ControlAnswer>>;
-    fn handle(&mut self, Amend(modify): Amend, _: &mut Self::Context) -> Self::Result {
-        let amended = self.prompter.is_settled().then(|| self.stage.amended(modify))?;
-        Some(amended.map_err(|outcome| refused(&outcome).unwrap_or_else(|| answer(200, "{}"))))
+impl Conductor {
+    /// The answer while the voters are too few for anything to be acknowledged.
+    pub(super) fn too_few(&self) -> Option<ControlAnswer> {
+        let bears = bears(self.prompter.roll(), self.losses());
+        (!bears).then(|| refusal(503, "too few voters yet to bear the losses of Tolerance"))
     }
 }
 
@@ -284,17 +448,6 @@
     }
 }
 
-#[derive(Message)]
-#[rtype(result = "bool")]
-struct AllApplied;
-
-impl Handler<AllApplied> for Conductor {
-    type Result = bool;
-    fn handle(&mut self, _: AllApplied, _: &mut Self::Context) -> bool {
-        self.behind(self.stage.index) == 0
-    }
-}
-
 impl Handler<Take> for Conductor {
     type Result = ResponseFuture<ControlAnswer>;
 
@@ -302,24 +455,51 @@
     /// caller would move on.
     fn handle(&mut self, Take(order): Take, ctx: &mut Self::Context) -> Self::Result {
         let me = ctx.address();
+        let tag = order.digests().map(|(subject, digest)| {
+            self.last_order += 1;
+            OrderTag {
+                life: self.calls.life().0,
+                number: self.last_order,
+                as_of: self.stage.index,
+                subject,
+                digest,
+                again: 0,
+            }
+        });
+        let house = self.house.clone();
+        let until = house.now() + c::CALL_WAIT_MS;
+        let own_state = matches!(order, Order::Status(_));
         Box::pin(async move {
             let work = async {
                 loop {
-                    let answered = match me.send(Route(order.clone())).await {
-                        Ok(Way::Here) => Some(carry_out(me.clone(), order.clone()).await),
+                    let answered = match me.send(Route(order.clone(), tag.clone())).await {
+                        Ok(Way::Here) => Some(carry_out(me.clone(), order.clone(), tag.clone()).await),
                         Ok(Way::There(rx)) => rx.await.ok(),
-                        Ok(Way::Nowhere) => None,
+                        Ok(Way::Nowhere(None)) => None,
+                        Ok(Way::Nowhere(Some(answer))) => return answer,
                         Err(_) => return refusal(503, "ending"),
                     };
                     match answered {
                         Some(a) if a.status != NOT_LEADER => return a,
                         _ => actix_rt::time::sleep(Duration::from_millis(c::CALL_RETRY_MS)).await,
                     }
+                    // The process may have stood still meanwhile: the caller has gone on.
+                    if house.now() >= until {
+                        return refusal(503, "no leader could be reached in time");
+                    }
                 }
             };
-            tokio::time::timeout(Duration::from_millis(c::CALL_WAIT_MS), work)
+            let answered = tokio::time::timeout(Duration::from_millis(c::CALL_WAIT_MS), work)
                 .await
-                .unwrap_or_else(|_| refusal(503, "no leader could be reached in time"))
+                .unwrap_or_else(|_| refusal(503, "no leader could be reached in time"));
+            if own_state && answered.status != 200 {
+                // What this node itself knows, marked with its age.
+                return match me.send(Ask(Question::Status)).await {
+                    Ok(body) => answer(200, body),
+                    Err(_) => refusal(503, "ending"),
+                };
+            }
+            answered
         })
     }
 }
@@ -327,67 +507,42 @@
 enum Way {
     Here,
     There(oneshot::Receiver<ControlAnswer>),
-    Nowhere,
+    /// Nobody is known to lead; what to answer at once if that has lasted.
+    Nowhere(Option<ControlAnswer>),
 }
 
 #[derive(Message)]
 #[rtype(result = "Way")]
-struct Route(Order);
+struct Route(Order, Option<OrderTag>);
 
 impl Handler<Route> for Conductor {
     type Result = MessageResult<Route>;
-    fn handle(&mut self, Route(order): Route, _: &mut Self::Context) -> Self::Result {
+    fn handle(&mut self, Route(order, tag): Route, _: &mut Self::Context) -> Self::Result {
+        let silent = self.silent_ms();
+        let began = !self.prompter.roll().voters.is_empty();
+        if began && silent >= c::OUT_OF_CONTACT_MS {
+            self.house.counters.add("orders_out_of_contact");
+            return MessageResult(Way::Nowhere(Some(self.refer())));
+        }
         let leader = self.prompter.leader();
         if self.prompter.is_leader() {
-            return MessageResult(Way::Here);
+            let in_contact = silent < c::ELECTION_MIN_MS;
+            return MessageResult(if in_contact { Way::Here } else { Way::Nowhere(None) });
         }
         let Some(address) = (leader != 0).then(|| self.address_of(leader)).flatten() else {
-            return MessageResult(Way::Nowhere);
+            return MessageResult(Way::Nowhere(None));
         };
         let (tx, rx) = oneshot::channel();
-        self.next_token += 1;
-        self.calls.retain(|_, tx| !tx.is_closed());
-        self.calls.insert(self.next_token, tx);
+        let call = self.calls.begin(leader, self.house.now(), tx);
         self.post(
             address,
-            Matter::Call(ControlCall {
-                id: self.next_token,
+            Matter::Call(Box::new(ControlCall {
+                id: call.number,
+                life: call.life.0,
                 order: Some(order),
-            }),
+                tag,
+            })),
         );
         MessageResult(Way::There(rx))
     }
 }
-
-/// Whether an order about a zone is one that was carried out a moment ago, sent
-/// again because its answer got lost. A new leader cannot know, and takes what
-/// would change nothing but the count for that.
-#[derive(Message)]
-#[rtype(result = "bool")]
-struct IsResent(EvacuationChange);
-
-impl Handler<IsResent> for Conductor {
-    type Result = bool;
-    fn handle(&mut self, IsResent(e): IsResent, _: &mut Self::Context) -> bool {
-        let now = self.house.now();
-        let in_force = self.stage.evacuated.contains_key(&e.zone);
-        let recent = |at: u64| now.saturating_sub(at) < c::SAME_ORDER_MS;
-        let known = self
-            .evacuations
-            .get(&(e.zone.clone(), e.begin))
-            .is_some_and(|at| recent(*at));
-        let resent = in_force == e.begin && (known || recent(self.prompter.led_since()));
-        resent || !e.begin && known
-    }
-}
-
-#[derive(Message)]
-#[rtype(result = "()")]
-struct CarriedOut(EvacuationChange);
-
-impl Handler<CarriedOut> for Conductor {
-    type Result = ();
-    fn handle(&mut self, CarriedOut(e): CarriedOut, _: &mut Self::Context) {
-        self.evacuations.insert((e.zone, e.begin), self.house.now());
-    }
-}
--- a/crates/playhouse/src/conductor/rollouts.rs
+++ b/crates/playhouse/src/conductor/rollouts.rs
@@ -1,6 +1,6 @@
 //! Orders about rollouts, carried out on the leader.
 
-use super::orders::{answer, is_newest, refusal, settle, NOT_LEADER};
+use super::orders::{answer, is_newest, refusal, settle, IsResent, NOT_LEADER};
 use super::Conductor;
 use crate::producer::{Figures, MayPass, Producer};
 use actix::prelude::*;
@@ -8,7 +8,6 @@
 use playbill::letters::*;
 use playbill::Stage;
 use preview::{Action, Preview, PreviewChange, Refusal, Side};
-use prompter::bears;
 use std::collections::BTreeSet;
 
 /// The answer to a change of a rollout that does not take place.
@@ -48,19 +47,22 @@
         if !self.prompter.is_settled() {
             return None;
         }
-        Some(if bears(self.prompter.roll(), self.losses()) {
-            Ok(Scene {
+        Some(match self.too_few() {
+            Some(answer) => Err(answer),
+            None => Ok(Scene {
                 stage: self.stage.clone(),
                 exposure: self.house.settings.get().terms.bounds.exposure_share,
                 producer: self.house.get::<Addr<Producer>>(),
-            })
-        } else {
-            Err(refusal(503, "too few voters yet to bear the losses of Tolerance"))
+            }),
         })
     }
 }
 
+/// The leader's copy, once a majority has confirmed it: orders are refused by it.
 async fn look(conductor: &Addr<Conductor>) -> Result<Scene, ControlAnswer> {
+    if !is_newest(conductor).await {
+        return Err(answer(NOT_LEADER, ""));
+    }
     match conductor.send(Look).await {
         Ok(Some(found)) => found,
         _ => Err(answer(NOT_LEADER, "")),
@@ -92,7 +94,11 @@
     workers.filter(move |w| w.service == service && !w.draining)
 }
 
-pub(super) async fn begin(conductor: Addr<Conductor>, order: BeginOrder) -> ControlAnswer {
+pub(super) async fn begin(
+    conductor: Addr<Conductor>,
+    order: BeginOrder,
+    tag: Option<OrderTag>,
+) -> ControlAnswer {
     let Scene { stage, exposure, .. } = match look(&conductor).await {
         Ok(found) => found,
         Err(answer) => return answer,
@@ -101,7 +107,9 @@
     let same = |p: &&std::sync::Arc<Preview>| {
         p.is_active() && p.target == create.target && p.duration_ms == create.duration_ms
     };
-    if stage.rollouts.get(&order.service).filter(same).is_none() {
+    // Sent again it is known by the log, whatever has come of it since.
+    let resent = conductor.send(IsResent(tag.clone())).await.unwrap_or(false);
+    if !resent && stage.rollouts.get(&order.service).filter(same).is_none() {
         if let Some(fault) = fault(&stage, &order.service, &create.target, create.duration_ms) {
             return fault;
         }
@@ -120,15 +128,22 @@
         before: before.into_iter().collect(),
         ..Default::default()
     };
-    settle(conductor, ChangeKind::Rollout(change)).await
+    settle(conductor, ChangeKind::Rollout(change), tag).await
 }
 
 /// Promotes, pauses, resumes, rolls back or cancels.
-pub(super) async fn steer(conductor: Addr<Conductor>, mut change: PreviewChange) -> ControlAnswer {
+pub(super) async fn steer(
+    conductor: Addr<Conductor>,
+    mut change: PreviewChange,
+    tag: Option<OrderTag>,
+) -> ControlAnswer {
     let Scene { stage, producer, .. } = match look(&conductor).await {
         Ok(found) => found,
         Err(answer) => return answer,
     };
+    if conductor.send(IsResent(tag.clone())).await.unwrap_or(false) {
+        return settle(conductor, ChangeKind::Rollout(change), tag).await;
+    }
     let Some(p) = stage.rollouts.get(&change.service) else {
         return refused(&Refusal::Unknown);
     };
@@ -156,7 +171,7 @@
     if change.expected == 0 {
         change.expected = p.version;
     }
-    settle(conductor, ChangeKind::Rollout(change)).await
+    settle(conductor, ChangeKind::Rollout(change), tag).await
 }
 
 fn shown(p: &Preview) -> serde_json::Value {
@@ -184,9 +199,6 @@
 
 /// One rollout as the operator's protocol wants it, or all with all there is.
 pub(super) async fn read(conductor: Addr<Conductor>, service: Option<String>) -> ControlAnswer {
-    if !is_newest(&conductor).await {
-        return answer(NOT_LEADER, "");
-    }
     let Scene { stage, producer, .. } = match look(&conductor).await {
         Ok(found) => found,
         Err(answer) => return answer,
--- a/crates/playhouse/src/conductor/tending.rs
+++ b/crates/playhouse/src/conductor/tending.rs
@@ -4,7 +4,7 @@
 use super::Conductor;
 use callboard::Member;
 use playbill::constants as c;
-use playbill::letters::Matter;
+use playbill::letters::{Digests, Matter};
 use prompter::{next_roll, FollowTiming, Losses, Patience, Seen, Source, Voter};
 use rand::seq::SliceRandom;
 use rand::Rng;
@@ -208,7 +208,13 @@
         let asked = near.choose(&mut rng).into_iter().chain(far.choose(&mut rng));
         let digests = understudy::digests(&self.stage);
         for m in asked {
-            self.post(m.address.clone(), Matter::Digests(digests.clone()));
+            let call = self.mends.begin(m.id, now, ());
+            let digests = Digests {
+                life: call.life.0,
+                id: call.number,
+                ..digests.clone()
+            };
+            self.post(m.address.clone(), Matter::Digests(digests));
         }
     }
 
--- a/crates/playhouse/src/desks.rs
+++ b/crates/playhouse/src/desks.rs
@@ -99,7 +99,7 @@
     }
 }
 
-async fn order(house: &House, order: Order) -> HttpResponse {
+async fn order(house: &House, request: &HttpRequest, order: Order) -> HttpResponse {
     let Some(conductor) = house.get::<Addr<Conductor>>() else {
         return HttpResponse::ServiceUnavailable().finish();
     };
@@ -112,6 +112,14 @@
     if status == StatusCode::SERVICE_UNAVAILABLE {
         response.insert_header((header::RETRY_AFTER, "0.2"));
     }
+    if status == StatusCode::TEMPORARY_REDIRECT {
+        // The node that the body names first.
+        let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap_or_default();
+        if let Some(node) = body["Nodes"][0].as_str() {
+            let to = format!("http://{node}{}", request.uri());
+            response.insert_header((header::LOCATION, to));
+        }
+    }
     response.content_type("application/json").body(answer.body)
 }
 
@@ -147,18 +155,22 @@
         body: body.to_vec(),
         ..Default::default()
     };
-    order(house, kind(change)).await
+    order(house, request, kind(change)).await
 }
 
-async fn read(house: web::Data<Shared>) -> HttpResponse {
-    order(&house.0, Order::Read(true)).await
+async fn read(house: web::Data<Shared>, request: HttpRequest) -> HttpResponse {
+    order(&house.0, &request, Order::Read(true)).await
 }
 
-async fn status(house: web::Data<Shared>) -> HttpResponse {
-    order(&house.0, Order::Status(true)).await
+async fn status(house: web::Data<Shared>, request: HttpRequest) -> HttpResponse {
+    order(&house.0, &request, Order::Status(true)).await
 }
 
-async fn evacuate(house: web::Data<Shared>, path: web::Path<(String, String)>) -> HttpResponse {
+async fn evacuate(
+    house: web::Data<Shared>,
+    request: HttpRequest,
+    path: web::Path<(String, String)>,
+) -> HttpResponse {
     let (zone, what) = path.into_inner();
     let begin = match what.as_str() {
         "begin" => true,
@@ -168,7 +180,8 @@
     if !house.0.settings.get().network.zones.contains_key(&zone) {
         return fault(StatusCode::NOT_FOUND, "no such zone");
     }
-    order(&house.0, Order::Evacuate(EvacuationChange { zone, begin })).await
+    let change = EvacuationChange { zone, begin };
+    order(&house.0, &request, Order::Evacuate(change)).await
 }
 
 #[derive(serde::Deserialize)]
--- a/crates/playhouse/src/desks/rollouts.rs
+++ b/crates/playhouse/src/desks/rollouts.rs
@@ -2,7 +2,7 @@
 
 use super::{fault, order, Shared};
 use actix_web::http::StatusCode;
-use actix_web::{web, HttpResponse};
+use actix_web::{web, HttpRequest, HttpResponse};
 use playbill::letters::{BeginOrder, KillSwitch, Order};
 use playbill::span::Span;
 use preview::{Action, Create, PreviewChange};
@@ -59,7 +59,7 @@
     })
 }
 
-pub async fn begin(house: web::Data<Shared>, body: web::Bytes) -> HttpResponse {
+pub async fn begin(house: web::Data<Shared>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
     let begin: Begin = match serde_json::from_slice(&body) {
         Ok(begin) => begin,
         Err(e) => return fault(StatusCode::BAD_REQUEST, &format!("the body cannot be read: {e}")),
@@ -80,19 +80,24 @@
         },
         why: begin.why,
     };
-    order(&house.0, Order::Begin(begin)).await
+    order(&house.0, &request, Order::Begin(begin)).await
 }
 
-pub async fn read(house: web::Data<Shared>, service: web::Path<String>) -> HttpResponse {
-    order(&house.0, Order::Rollout(service.into_inner())).await
+pub async fn read(
+    house: web::Data<Shared>,
+    request: HttpRequest,
+    service: web::Path<String>,
+) -> HttpResponse {
+    order(&house.0, &request, Order::Rollout(service.into_inner())).await
 }
 
-pub async fn list(house: web::Data<Shared>) -> HttpResponse {
-    order(&house.0, Order::Rollouts(true)).await
+pub async fn list(house: web::Data<Shared>, request: HttpRequest) -> HttpResponse {
+    order(&house.0, &request, Order::Rollouts(true)).await
 }
 
 pub async fn steer(
     house: web::Data<Shared>,
+    request: HttpRequest,
     path: web::Path<(String, String)>,
     body: web::Bytes,
 ) -> HttpResponse {
@@ -122,10 +127,10 @@
         bypass: steer.bypass,
         ..Default::default()
     };
-    order(&house.0, Order::Steer(change)).await
+    order(&house.0, &request, Order::Steer(change)).await
 }
 
-pub async fn kill_switch(house: web::Data<Shared>, body: web::Bytes) -> HttpResponse {
+pub async fn kill_switch(house: web::Data<Shared>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
     let switch: Switch = match serde_json::from_slice(&body) {
         Ok(switch) => switch,
         Err(e) => return fault(StatusCode::BAD_REQUEST, &format!("the body cannot be read: {e}")),
@@ -135,5 +140,5 @@
         who: switch.who,
         why: switch.why,
     };
-    order(&house.0, Order::KillSwitch(switch)).await
+    order(&house.0, &request, Order::KillSwitch(switch)).await
 }
--- a/crates/prompter/src/machine.rs
+++ b/crates/prompter/src/machine.rs
@@ -245,6 +245,21 @@
     pub fn heard_at(&self) -> u64 {
         self.heard_at
     }
+    /// When this node last had word of a majority: as leader the moment since which a
+    /// majority has been heard, else when it last heard the leader that it follows.
+    pub fn contact_at(&self, now: u64) -> u64 {
+        if !self.is_leader() {
+            return self.heard_at;
+        }
+        let heard = |v: &Voter| match self.progress.get(&v.id) {
+            _ if v.id == self.id => now,
+            Some(p) => p.heard_at,
+            None => 0,
+        };
+        let mut heard: Vec<u64> = self.roll.voters.iter().map(heard).collect();
+        heard.sort_unstable_by(|a, b| b.cmp(a));
+        heard.get(self.roll.majority() - 1).copied().unwrap_or(0)
+    }
     /// A leader whose first entry of its term is committed knows all that was
     /// ever committed.
     pub fn is_settled(&self) -> bool {
--- a/crates/understudy/src/lib.rs
+++ b/crates/understudy/src/lib.rs
@@ -85,6 +85,7 @@
     Digests {
         index: image.index,
         ranges,
+        ..Default::default()
     }
 }
 
@@ -107,6 +108,8 @@
         index: stage.index,
         ranges,
         image: Some(image),
+        life: theirs.life,
+        id: theirs.id,
     })
 }
 
