One pure judgement of configuration orders, for the program and the rehearsals

Cause: the judging of an order stood in the conductor, where no rehearsal plays it. Change: Stage::judge_order says log, confirm first, or a final outcome; the conductor only carries it out. Ruled out: nothing final out of a copy that is not confirmed, also not what is wrong with an order by itself (a round costs little, one rule is simpler).

--- a/crates/playbill/src/stage.rs
+++ b/crates/playbill/src/stage.rs
@@ -40,6 +40,17 @@
     Unclear,
 }
 
+/// What becomes of a configuration order before it is logged.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Judgement {
+    /// It is for the log to order.
+    Log,
+    /// This copy would not take it; to be asked again once a majority has confirmed it.
+    Confirm,
+    /// The outcome, with no entry of its own.
+    Final(Outcome),
+}
+
 #[derive(Clone, Debug, Default)]
 pub struct Stage {
     pub index: u64,
@@ -110,6 +121,30 @@
         }
     }
 
+    /// What becomes of a configuration order as far as this copy of the state can say.
+    /// `confirmed`: a majority has confirmed, since the order came, that the copy holds
+    /// all that was acknowledged.
+    pub fn judge_order(&self, order: &ReplaceOrder, confirmed: bool) -> Judgement {
+        let whole = if order.amendment.is_empty() {
+            self.judge_replace(order).err()
+        } else {
+            let modify = ReplaceOrder {
+                base: order.base,
+                body: order.amendment.clone(),
+                amendment: Vec::new(),
+            };
+            let whole = self.amended(modify);
+            whole.and_then(|order| self.judge_replace(&order)).err()
+        };
+        match whole {
+            None => Judgement::Log,
+            // A refusal ahead of the base must be remembered to stay one.
+            Some(Outcome::Lost(version)) if order.base > version => Judgement::Log,
+            Some(_) if !confirmed => Judgement::Confirm,
+            Some(outcome) => Judgement::Final(outcome),
+        }
+    }
+
     /// What replacing the configuration would come to, without doing it. Binding only
     /// where the log says it: a copy may be behind.
     pub fn judge_replace(&self, order: &ReplaceOrder) -> Result<Configuration, Outcome> {
--- a/crates/playbill/tests/ledger.rs
+++ b/crates/playbill/tests/ledger.rs
@@ -3,7 +3,7 @@
 
 use playbill::constants as c;
 use playbill::letters::{ChangeKind, EvacuationChange, OrderTag, ReplaceOrder};
-use playbill::stage::{encode_change, encode_order, Outcome};
+use playbill::stage::{encode_change, encode_order, Judgement, Outcome};
 use playbill::Stage;
 use std::collections::BTreeMap;
 
@@ -105,6 +105,36 @@
     assert!(matches!(send(&mut stage, &low), Outcome::Invalid(_)));
 }
 
+/// A leader that was cut off holds version 1; since then 2 and 3 were taken elsewhere.
+#[test]
+fn an_old_copy_says_nothing_final_before_a_majority_has_confirmed_it() {
+    let mut old = Stage::default();
+    send(&mut old, &order(0, 1, "one"));
+    let mut new = restored(&old);
+    send(&mut new, &order(1, 2, "one"));
+    send(&mut new, &order(2, 3, "one"));
+    let orders = [
+        order(0, 1, "one"),
+        order(0, 1, "two"),
+        order(1, 2, "two"),
+        order(2, 9, "two"),
+        order(3, 4, "one"),
+        order(1, 1, "low"),
+    ];
+    for o in &orders {
+        assert!(
+            !matches!(old.judge_order(o, false), Judgement::Final(_)),
+            "{}",
+            o.base
+        );
+        // What is said by a copy that is confirmed is what the log comes to.
+        match new.judge_order(o, true) {
+            Judgement::Final(outcome) => assert_eq!(outcome, send(&mut new.clone(), o)),
+            judgement => assert_eq!((judgement, o.base), (Judgement::Log, 3)),
+        }
+    }
+}
+
 /// Two operators with three orders each on three bases; every history of six steps in
 /// which any of them is sent (again) or the state goes through a snapshot.
 #[test]
--- a/crates/playhouse/src/conductor/orders.rs
+++ b/crates/playhouse/src/conductor/orders.rs
@@ -6,7 +6,7 @@
 use playbill::constants as c;
 use playbill::ledger::key_of;
 use playbill::letters::*;
-use playbill::stage::{encode_order, Outcome};
+use playbill::stage::{encode_order, Judgement, Outcome};
 use prompter::bears;
 use rand::seq::SliceRandom;
 use std::collections::BTreeSet;
@@ -245,24 +245,24 @@
     matches!(good, Ok(Ok(true)))
 }
 
-/// Carries out a configuration order. What is wrong with the order by itself is said at
-/// once. Whatever else is refused or confirmed without a new entry is said out of a copy
-/// that a majority has confirmed since the order came.
+/// Carries out a configuration order. Whatever is refused or confirmed without a new
+/// entry is said out of a copy that a majority has confirmed since the order came.
 async fn configure(conductor: Addr<Conductor>, order: ReplaceOrder) -> ControlAnswer {
-    let judge = |after_read| JudgeOrder {
+    let judge = |confirmed| JudgeOrder {
         order: order.clone(),
-        after_read,
+        confirmed,
     };
     let mut judged = conductor.send(judge(false)).await;
-    if matches!(judged, Ok(Some(Judged::ByState))) {
+    if matches!(judged, Ok(Some(Ok(Judgement::Confirm)))) {
         if !is_newest(&conductor).await {
             return answer(NOT_LEADER, "");
         }
         judged = conductor.send(judge(true)).await;
     }
     match judged {
-        Ok(Some(Judged::Log)) => settle(conductor, ChangeKind::Replace(order), None).await,
-        Ok(Some(Judged::Answered(answer))) => answer,
+        Ok(Some(Ok(Judgement::Log))) => settle(conductor, ChangeKind::Replace(order), None).await,
+        Ok(Some(Ok(Judgement::Final(outcome)))) => refused(&outcome).unwrap_or_else(|| answer(200, "{}")),
+        Ok(Some(Err(answer))) => answer,
         _ => answer(NOT_LEADER, ""),
     }
 }
@@ -365,66 +365,24 @@
     }
 }
 
-/// What becomes of a configuration order.
-enum Judged {
-    /// It is for the log to order.
-    Log,
-    /// This copy of the state would not take it.
-    ByState,
-    Answered(ControlAnswer),
-}
-
 /// Looks at a configuration order before it is logged; `None` if this node does not lead.
 #[derive(Message)]
-#[rtype(result = "Option<Judged>")]
+#[rtype(result = "Option<Result<Judgement, ControlAnswer>>")]
 struct JudgeOrder {
     order: ReplaceOrder,
-    /// A majority has confirmed this copy since the order came.
-    after_read: bool,
+    confirmed: bool,
 }
 
 impl Handler<JudgeOrder> for Conductor {
-    type Result = Option<Judged>;
+    type Result = Option<Result<Judgement, ControlAnswer>>;
     fn handle(&mut self, msg: JudgeOrder, _: &mut Self::Context) -> Self::Result {
         if !self.prompter.is_settled() {
             return None;
         }
         if let Some(answer) = self.too_few() {
-            return Some(Judged::Answered(answer));
-        }
-        let ReplaceOrder {
-            base,
-            body,
-            amendment,
-        } = msg.order;
-        let outcome = if amendment.is_empty() {
-            let order = ReplaceOrder {
-                base,
-                body,
-                amendment,
-            };
-            self.stage.judge_replace(&order).err()
-        } else {
-            let modify = ReplaceOrder {
-                base,
-                body: amendment,
-                amendment: Vec::new(),
-            };
-            let whole = self.stage.amended(modify);
-            whole.and_then(|order| self.stage.judge_replace(&order)).err()
-        };
-        let Some(outcome) = outcome else {
-            return Some(Judged::Log);
-        };
-        // A refusal ahead of the base must be remembered to stay one.
-        if matches!(outcome, Outcome::Lost(version) if base > version) {
-            return Some(Judged::Log);
-        }
-        if !msg.after_read {
-            return Some(Judged::ByState);
+            return Some(Err(answer));
         }
-        let answered = refused(&outcome).unwrap_or_else(|| answer(200, "{}"));
-        Some(Judged::Answered(answered))
+        Some(Ok(self.stage.judge_order(&msg.order, msg.confirmed)))
     }
 }
 
