A damaged store is told from a torn end and never promises less under its identity

Change: the store counts its commits, and a second file (prompter.mark, two slots, CRC-32) counts those acknowledged; a store with fewer is set aside as prompter.redb.damaged and the node joins as somebody new, never as a first start. A store is made under another name and renamed when whole. It is opened with all pages checked. Log read back: no gap, no falling term, row and entry agree. Anything else that cannot be read ends the start and names file, cause and remedy. After trouble a running node opens, never creates.

Ruled out: redb's two-phase commit (two syncs an acknowledgement); syncing the count with each commit (same cost): it is synced once a second at the most, so only a loss of power together with damage to the last second goes untold. A checksum of each entry: redb checks pages from the root down.

Tests: byte flips and cuts of a real file.

--- a/crates/playbill/src/constants.rs
+++ b/crates/playbill/src/constants.rs
@@ -47,6 +47,10 @@
 pub const DISK_PATIENCE_MS: u64 = 900;
 /// A write that failed is tried again after this pause, ms.
 pub const DISK_RETRY_MS: u64 = 400;
+/// The count of commits that tells damage from a torn end is synced this long
+/// after the first it has not on disk, ms: so long a loss of power leaves the
+/// newest commits uncounted, and no more than one sync a second is added.
+pub const HIGH_WATER_SYNC_MS: u64 = 1000;
 
 /// Pause between two probes of a node, ms: every other node is probed within
 /// seconds at a low price.
--- a/crates/playbill/src/stage.rs
+++ b/crates/playbill/src/stage.rs
@@ -6,20 +6,21 @@
 use crate::constants as c;
 use crate::ledger::{key_of, Known, Ledger};
 use crate::letters::*;
-use flate2::read::DeflateDecoder;
 use flate2::write::DeflateEncoder;
-use flate2::Compression;
+use flate2::{Compression, Crc, Decompress, FlushDecompress, Status};
 use preview::{Refusal, Side, Table};
 use prost::Message;
 use std::collections::{BTreeMap, BTreeSet};
-use std::io::{Read, Write};
+use std::io::Write;
 use std::sync::Arc;
 
 /// The number of keys of a partitioned service.
 pub const KEYS: u32 = 65_536;
 
 /// Most that a snapshot unpacks to, bytes: far above a thousand workers.
-const SNAPSHOT_BYTES: u64 = 64 * 1024 * 1024;
+const SNAPSHOT_BYTES: usize = 64 * 1024 * 1024;
+/// Unpacked in steps of this size, bytes.
+const UNPACK_STEP: usize = 64 * 1024;
 
 /// First byte of a packed image; no image begins with it.
 const PACKED: u8 = 0;
@@ -468,32 +469,32 @@
     /// The data of a snapshot: the image, packed, since hundreds of nodes are sent
     /// it over narrow links when all of them restart.
     pub fn to_snapshot(&self) -> Vec<u8> {
+        let image = self.image().encode_to_vec();
         let mut pack = DeflateEncoder::new(vec![PACKED], Compression::fast());
-        pack.write_all(&self.image().encode_to_vec())
+        let mut data = pack
+            .write_all(&image)
             .and_then(|()| pack.finish())
-            .expect("memory takes every write")
+            .expect("memory takes every write");
+        data.extend(checksum(&image));
+        data
     }
 
-    /// The state that a snapshot of the log holds, at the index it stands for;
-    /// an empty one if the data cannot be read.
-    pub fn from_snapshot(index: u64, data: &[u8]) -> Stage {
+    /// The state that a snapshot of the log holds, at the index it stands for.
+    /// Only the one before the first entry is empty: whatever else cannot be read
+    /// whole is a fault, and never stands for a state.
+    pub fn from_snapshot(index: u64, data: &[u8]) -> Result<Stage, Fault> {
         let image = match data.split_first() {
-            Some((&PACKED, packed)) => {
-                let mut image = Vec::new();
-                let unpack = DeflateDecoder::new(packed)
-                    .take(SNAPSHOT_BYTES)
-                    .read_to_end(&mut image);
-                unpack
-                    .ok()
-                    .and_then(|_| StageImage::decode(image.as_slice()).ok())
-            }
+            None if index == 0 => return Ok(Stage::default()),
+            None => return Err(Fault("no data".into())),
+            Some((&PACKED, packed)) => unpack(packed)?,
             // As stores of earlier versions hold it.
-            _ => StageImage::decode(data).ok(),
+            _ => data.to_vec(),
         };
-        let read = image.and_then(Stage::from_image);
-        let mut stage = read.unwrap_or_default();
+        let image = StageImage::decode(image.as_slice()).map_err(|e| Fault(e.to_string()))?;
+        let read = Stage::from_image(image);
+        let mut stage = read.ok_or_else(|| Fault("its configuration cannot be read".into()))?;
         stage.index = stage.index.max(index);
-        stage
+        Ok(stage)
     }
 
     /// The state that an image holds; `None` if its configuration is unreadable.
@@ -556,6 +557,41 @@
     }
 }
 
+/// CRC-32 of an image. Earlier versions read no further than the packed image, and
+/// wrote none.
+fn checksum(image: &[u8]) -> [u8; 4] {
+    let mut sum = Crc::new();
+    sum.update(image);
+    sum.sum().to_le_bytes()
+}
+
+/// The image out of a packed one, if it is whole.
+fn unpack(packed: &[u8]) -> Result<Vec<u8>, Fault> {
+    let fault = |what: &str| Fault(format!("{what}, {} bytes", packed.len()));
+    let mut unpack = Decompress::new(false);
+    let mut image = Vec::new();
+    loop {
+        if image.len() >= SNAPSHOT_BYTES {
+            return Err(fault("it unpacks to too much"));
+        }
+        image.reserve(UNPACK_STEP);
+        let before = (unpack.total_in(), unpack.total_out());
+        let rest = &packed[unpack.total_in() as usize..];
+        let status = unpack.decompress_vec(rest, &mut image, FlushDecompress::None);
+        match status.map_err(|e| Fault(e.to_string()))? {
+            Status::StreamEnd => break,
+            _ if (unpack.total_in(), unpack.total_out()) == before => return Err(fault("it ends too soon")),
+            _ => {}
+        }
+    }
+    let rest = &packed[unpack.total_in() as usize..];
+    if rest.is_empty() || *rest == checksum(&image) {
+        Ok(image)
+    } else {
+        Err(fault("its checksum is another"))
+    }
+}
+
 /// Encodes a change for the log.
 pub fn encode_change(kind: ChangeKind) -> Vec<u8> {
     encode_order(kind, None)
@@ -696,8 +732,9 @@
         assert_eq!(again.image(), stage.image());
         assert_eq!(again.top_fence(), 2);
         for data in [stage.to_snapshot(), stage.image().encode_to_vec()] {
-            assert_eq!(Stage::from_snapshot(3, &data).image(), stage.image());
+            let read = Stage::from_snapshot(3, &data).expect("whole");
+            assert_eq!(read.image(), stage.image());
         }
-        assert_eq!(Stage::from_snapshot(9, &[PACKED, 77]).version(), 0, "unreadable");
+        assert!(Stage::from_snapshot(9, &[PACKED, 77]).is_err(), "unreadable");
     }
 }
--- a/crates/playhouse/src/conductor/mod.rs
+++ b/crates/playhouse/src/conductor/mod.rs
@@ -31,21 +31,30 @@
 fn start(house: &Rc<House>) -> Result<(), String> {
     let settings = house.settings.get();
     let (words_in, mut words) = tokio::sync::mpsc::unbounded_channel();
-    let (identity, saved, empty, vault) = match &settings.own_entity.data_directory {
+    let (identity, saved, stage, empty, vault) = match &settings.own_entity.data_directory {
         Some(folder) => {
+            let opened = Vault::open(folder, words_in)?;
+            if let Some(why) = &opened.damage {
+                log::error!(
+                    "event=store_damaged folder={folder} why=\"{why}\": set aside as prompter.redb.damaged, joining as a new node"
+                );
+            }
             let Opened {
                 identity,
                 saved,
+                stage,
                 empty,
                 vault,
-            } = Vault::open(folder, words_in)?;
-            (identity, saved, empty, Some(vault))
+                ..
+            } = opened;
+            (identity, saved, stage, empty, Some(vault))
         }
         None => {
             let id = rand::thread_rng().gen_range(1..u64::MAX);
             (
                 Identity { id, cluster: 0 },
                 prompter::Saved::default(),
+                Stage::default(),
                 true,
                 None,
             )
@@ -70,7 +79,6 @@
         append_bytes: c::APPEND_BYTES,
         tail_bytes: c::LOG_TAIL_BYTES,
     };
-    let stage = Stage::from_snapshot(saved.snapshot.index, &saved.snapshot.data);
     let prompter = Prompter::new(identity.id, saved, timing, house.now(), rand::thread_rng().gen());
     let mut standing = Standing {
         id: identity.id,
@@ -85,6 +93,7 @@
         house: house.clone(),
         prompter,
         stage,
+        arrived: None,
         vault,
         fresh,
         written: 0,
@@ -156,6 +165,8 @@
     house: Rc<House>,
     prompter: Prompter,
     stage: Stage,
+    /// The state of a snapshot that the agreement has just taken.
+    arrived: Option<Stage>,
     vault: Option<Vault>,
     /// Empty at the first start of the whole system.
     fresh: bool,
@@ -326,12 +337,33 @@
         }
     }
 
+    /// Takes a message of the agreement in. A snapshot that cannot be read is no
+    /// message: its sender sends another when this one has no answer.
+    fn receive(&mut self, now: u64, from: u64, cue: Cue) {
+        let newer = cue.snapshot.as_ref().filter(|s| s.index > self.stage.index);
+        let read = newer.map(|s| (s.index, Stage::from_snapshot(s.index, &s.data)));
+        if let Some((index, Err(e))) = &read {
+            self.house.counters.add("unreadable_snapshots");
+            log::error!("event=snapshot_unreadable from={from:x} index={index} why=\"{e}\"");
+            return;
+        }
+        let before = self.prompter.commit();
+        self.prompter.receive(now, from, cue);
+        if let Some((index, Ok(stage))) = read {
+            if before < index && self.prompter.commit() == index {
+                self.arrived = Some(stage);
+            }
+        }
+        self.flush();
+    }
+
     fn install(&mut self, snapshot: &Snapshot) {
-        if snapshot.index > self.stage.index {
-            self.stage = Stage::from_snapshot(snapshot.index, &snapshot.data);
+        // It was read when it arrived.
+        if let Some(stage) = self.arrived.take().filter(|s| s.index == snapshot.index) {
+            self.stage = stage;
             self.house.stage.set(self.stage.clone());
         }
-        self.prompter.applied(self.stage.index.max(snapshot.index));
+        self.prompter.applied(self.stage.index);
     }
 
     fn apply(&mut self, entry: prompter::Entry) {
@@ -512,8 +544,7 @@
                     }
                     self.introduced.insert(letter.from, letter.reply_to);
                 }
-                self.prompter.receive(now, letter.from, cue);
-                self.flush();
+                self.receive(now, letter.from, cue);
             }
             Some(Matter::Call(call)) => {
                 let ControlCall { id, life, order, tag } = *call;
--- a/crates/playhouse/src/main.rs
+++ b/crates/playhouse/src/main.rs
@@ -20,6 +20,8 @@
 
 #[cfg(test)]
 mod forwarding_tests;
+#[cfg(test)]
+mod vault_tests;
 
 use kernel::House;
 use playbill::settings::SETTINGS_ENV;
--- a/crates/playhouse/src/vault.rs
+++ b/crates/playhouse/src/vault.rs
@@ -1,21 +1,50 @@
 //! The node's own state on disk, in a store of its own thread: a disk that
 //! hangs must not hold up traffic.
+//!
+//! What is acknowledged is on disk, and stays the least that this identity
+//! promises: a store that holds less of it than was acknowledged is set aside, and
+//! the node begins as somebody new, without a vote.
 
+mod high_water;
+mod load;
+
+use high_water::HighWater;
 use playbill::constants as c;
-use prompter::{Entry, Saved, Snapshot, Write};
+use playbill::Stage;
+use prompter::{Saved, Write};
 use prost::Message;
-use rand::Rng;
-use redb::{Database, ReadableDatabase, TableDefinition};
+use redb::{Builder, Database, ReadableTable, TableDefinition};
 use std::path::{Path, PathBuf};
 use std::sync::mpsc;
 use std::time::Duration;
 
 const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
 const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
-const FILE: &str = "prompter.redb";
 /// Cache of the store, bytes: the log is read at the start only.
 const CACHE: usize = 256 * 1024;
 
+/// The files of a store.
+struct Paths {
+    store: PathBuf,
+    /// A store that is being made.
+    unfinished: PathBuf,
+    /// The last one that was found damaged.
+    damaged: PathBuf,
+    high_water: PathBuf,
+}
+
+impl Paths {
+    fn new(folder: &str) -> Paths {
+        let file = |name: &str| Path::new(folder).join(name);
+        Paths {
+            store: file("prompter.redb"),
+            unfinished: file("prompter.redb.new"),
+            damaged: file("prompter.redb.damaged"),
+            high_water: file("prompter.mark"),
+        }
+    }
+}
+
 /// Who this node is, as its disk knows.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Identity {
@@ -27,8 +56,12 @@
 pub struct Opened {
     pub identity: Identity,
     pub saved: Saved,
+    /// The state of the snapshot.
+    pub stage: Stage,
     /// The disk held nothing of ours.
     pub empty: bool,
+    /// Why the store before this one was set aside, if it was.
+    pub damage: Option<String>,
     pub vault: Vault,
 }
 
@@ -54,21 +87,37 @@
 type Fallible<T> = Result<T, Box<dyn std::error::Error + Send + Sync>>;
 
 impl Vault {
-    /// Opens the store, or begins it with a fresh identity.
+    /// Opens the store, or begins it with a fresh identity. An error names the
+    /// file, what is wrong, and what an operator may do.
     pub fn open(folder: &str, words: tokio::sync::mpsc::UnboundedSender<Word>) -> Result<Opened, String> {
-        let path = Path::new(folder).join(FILE);
-        let (db, identity, saved, empty) =
-            load(&path).map_err(|e| format!("OwnEntity.DataDirectory {folder}: {e}"))?;
+        let paths = Paths::new(folder);
+        let store = paths.store.display();
+        let loaded = load::load(&paths).map_err(|e| {
+            format!(
+                "OwnEntity.DataDirectory: {store}: {e}. The file is left as it is. See that this process may read \
+                 and write it and that the disk is sound, and start again; or, if the other machines with a disk \
+                 are well, move it away: the node then joins as a new one"
+            )
+        })?;
         let (jobs, inbox) = mpsc::channel();
+        let mut disk = Disk {
+            db: Some(loaded.db),
+            id: loaded.identity.id,
+            commits: loaded.commits,
+            high_water: HighWater::new(paths.high_water),
+            path: paths.store,
+        };
         std::thread::Builder::new()
             .name("vault".into())
             .stack_size(256 * 1024)
-            .spawn(move || work(db, &path, &inbox, &words))
+            .spawn(move || disk.work(&inbox, &words))
             .map_err(|e| e.to_string())?;
         Ok(Opened {
-            identity,
-            saved,
-            empty,
+            identity: loaded.identity,
+            saved: loaded.saved,
+            stage: loaded.stage,
+            empty: loaded.empty,
+            damage: loaded.damage,
             vault: Vault { jobs },
         })
     }
@@ -84,231 +133,121 @@
     }
 }
 
-fn open(path: &Path) -> Fallible<Database> {
-    Ok(Database::builder().set_cache_size(CACHE).create(path)?)
+/// Opens a store with all of its pages checked: redb trusts one that was closed in
+/// order otherwise, and may panic on damage.
+fn open_store(
+    open: impl FnOnce(&mut Builder) -> Result<Database, redb::DatabaseError>,
+) -> Fallible<Database> {
+    let mut builder = Database::builder();
+    builder.set_cache_size(CACHE).set_check_integrity_on_open(true);
+    Ok(open(&mut builder)?)
 }
 
-fn sync_folder(path: &Path) -> Fallible<()> {
+fn sync_folder(path: &Path) -> std::io::Result<()> {
     let folder: PathBuf = path.parent().map(Path::to_path_buf).unwrap_or_default();
-    Ok(std::fs::File::open(folder)?.sync_all()?)
+    std::fs::File::open(folder)?.sync_all()
 }
 
-fn load(path: &Path) -> Fallible<(Database, Identity, Saved, bool)> {
-    if let Some(folder) = path.parent() {
-        std::fs::create_dir_all(folder)?;
-    }
-    let (db, found) = match open(path).and_then(|db| Ok((read_all(&db)?, db))) {
-        Ok((found, db)) => (db, found),
-        Err(e) if path.exists() && !is_broken(&*e) => return Err(e),
-        Err(_) => {
-            // A store that never got as far as its identity, or that cannot be
-            // read at all, has promised nothing under that identity that it
-            // could keep: the node begins again as somebody new.
-            std::fs::remove_file(path).ok();
-            (open(path)?, None)
-        }
-    };
-    if let Some((identity, saved)) = found {
-        return Ok((db, identity, saved, false));
-    }
-    let identity = Identity {
-        id: rand::thread_rng().gen_range(1..u64::MAX),
-        cluster: 0,
-    };
-    let tx = db.begin_write()?;
-    {
-        let mut meta = tx.open_table(META)?;
-        meta.insert("id", identity.id.to_le_bytes().as_slice())?;
-        tx.open_table(LOG)?;
-    }
-    tx.commit()?;
-    sync_folder(path)?;
-    Ok((db, identity, Saved::default(), true))
+/// A number of the META table; 0 if it is not there.
+fn meta_number(meta: &impl ReadableTable<&'static str, &'static [u8]>, name: &str) -> Fallible<u64> {
+    let number = |bytes: &[u8]| bytes.try_into().map_or(0, u64::from_le_bytes);
+    Ok(meta.get(name)?.map_or(0, |v| number(v.value())))
 }
 
-fn is_broken(e: &(dyn std::error::Error + Send + Sync + 'static)) -> bool {
-    matches!(
-        e.downcast_ref::<redb::DatabaseError>(),
-        Some(redb::DatabaseError::Storage(redb::StorageError::Corrupted(_)))
-    ) || matches!(
-        e.downcast_ref::<redb::DatabaseError>(),
-        Some(redb::DatabaseError::Storage(redb::StorageError::Io(io)))
-            if io.kind() == std::io::ErrorKind::InvalidData || io.kind() == std::io::ErrorKind::UnexpectedEof
-    )
+/// The disk's thread.
+struct Disk {
+    db: Option<Database>,
+    path: PathBuf,
+    id: u64,
+    /// Commits acknowledged by this store, in all its lives.
+    commits: u64,
+    high_water: HighWater,
 }
 
-fn number(bytes: &[u8]) -> u64 {
-    bytes.try_into().map(u64::from_le_bytes).unwrap_or(0)
-}
-
-fn read_all(db: &Database) -> Fallible<Option<(Identity, Saved)>> {
-    let tx = db.begin_read()?;
-    let meta = match tx.open_table(META) {
-        Ok(meta) => meta,
-        Err(redb::TableError::TableDoesNotExist(_)) => return Ok(None),
-        Err(e) => return Err(e.into()),
-    };
-    let get = |name: &str| -> Fallible<u64> { Ok(meta.get(name)?.map_or(0, |v| number(v.value()))) };
-    let identity = Identity {
-        id: get("id")?,
-        cluster: get("cluster")?,
-    };
-    if identity.id == 0 {
-        return Ok(None);
-    }
-    let snapshot = match meta.get("snapshot")? {
-        Some(bytes) => Snapshot::decode(bytes.value())?,
-        None => Snapshot::default(),
-    };
-    let mut entries = Vec::new();
-    let log = tx.open_table(LOG)?;
-    for row in log.range(snapshot.index + 1..)? {
-        let (_, bytes) = row?;
-        entries.push(Entry::decode(bytes.value())?);
-    }
-    Ok(Some((
-        identity,
-        Saved {
-            term: get("term")?,
-            vote: get("vote")?,
-            snapshot,
-            entries,
-        },
-    )))
-}
-
-fn work(
-    db: Database,
-    path: &Path,
-    inbox: &mpsc::Receiver<Job>,
-    words: &tokio::sync::mpsc::UnboundedSender<Word>,
-) {
-    let mut db = Some(db);
-    while let Ok(first) = inbox.recv() {
-        // Whatever has queued up meanwhile goes to disk together.
-        let mut jobs = vec![first];
-        jobs.extend(inbox.try_iter());
-        loop {
-            let result = match &db {
-                Some(db) => commit(db, &jobs),
-                None => Err("the store is closed".into()),
-            };
-            match result {
-                Ok(()) => break,
-                Err(e) => {
-                    if words.send(Word::Trouble(e.to_string())).is_err() {
-                        return;
-                    }
-                    std::thread::sleep(Duration::from_millis(c::DISK_RETRY_MS));
-                    // After a failed write only a fresh look at the file helps.
-                    drop(db.take());
-                    db = open(path).ok();
+impl Disk {
+    fn work(&mut self, inbox: &mpsc::Receiver<Job>, words: &tokio::sync::mpsc::UnboundedSender<Word>) {
+        while let Some(first) = self.next_job(inbox) {
+            // Whatever has queued up meanwhile goes to disk together.
+            let mut jobs = vec![first];
+            jobs.extend(inbox.try_iter());
+            while let Err(e) = self.commit(&jobs) {
+                if words.send(Word::Trouble(e.to_string())).is_err() {
+                    return;
                 }
+                std::thread::sleep(Duration::from_millis(c::DISK_RETRY_MS));
+                // After a failed write only a fresh look at the file helps.
+                drop(self.db.take());
+                self.db = open_store(|b| b.open(&self.path)).ok();
             }
-        }
-        let last = jobs.iter().rev().find_map(|j| match j {
-            Job::Write { seq, .. } => Some(*seq),
-            Job::Cluster(_) => None,
-        });
-        if let Some(seq) = last {
-            if words.send(Word::Done(seq)).is_err() {
-                return;
+            self.high_water.note(self.id, self.commits);
+            let last = jobs.iter().rev().find_map(|j| match j {
+                Job::Write { seq, .. } => Some(*seq),
+                Job::Cluster(_) => None,
+            });
+            if let Some(seq) = last {
+                if words.send(Word::Done(seq)).is_err() {
+                    break;
+                }
             }
+            self.high_water.sync_if_due();
         }
+        self.high_water.sync();
     }
-}
 
-fn commit(db: &Database, jobs: &[Job]) -> Fallible<()> {
-    let tx = db.begin_write()?;
-    {
-        let mut meta = tx.open_table(META)?;
-        let mut log = tx.open_table(LOG)?;
-        for job in jobs {
-            let write = match job {
-                Job::Cluster(cluster) => {
-                    meta.insert("cluster", cluster.to_le_bytes().as_slice())?;
-                    continue;
-                }
-                Job::Write { write, .. } => write,
-            };
-            if let Some((term, vote)) = write.hard {
-                meta.insert("term", term.to_le_bytes().as_slice())?;
-                meta.insert("vote", vote.to_le_bytes().as_slice())?;
-            }
-            if let Some(snapshot) = &write.snapshot {
-                meta.insert("snapshot", snapshot.encode_to_vec().as_slice())?;
-                log.retain_in(..=snapshot.index, |_, _| false)?;
-            }
-            if let Some(from) = write.cut_from {
-                log.retain_in(from.., |_, _| false)?;
-            }
-            for entry in &write.entries {
-                log.insert(entry.index, entry.encode_to_vec().as_slice())?;
+    /// Waits for a job; a count that waits for a sync gets it in between.
+    fn next_job(&mut self, inbox: &mpsc::Receiver<Job>) -> Option<Job> {
+        if self.high_water.is_dirty() {
+            match inbox.recv_timeout(Duration::from_millis(c::HIGH_WATER_SYNC_MS)) {
+                Ok(job) => return Some(job),
+                Err(mpsc::RecvTimeoutError::Timeout) => self.high_water.sync(),
+                Err(mpsc::RecvTimeoutError::Disconnected) => return None,
             }
         }
+        inbox.recv().ok()
     }
-    tx.commit()?;
-    Ok(())
-}
 
-#[cfg(test)]
-mod tests {
-    use super::*;
-
-    fn entry(index: u64) -> Entry {
-        Entry {
-            index,
-            term: 2,
-            kind: 1,
-            data: vec![index as u8; 40],
+    fn commit(&mut self, jobs: &[Job]) -> Fallible<()> {
+        let db = self.db.as_ref().ok_or("the store is closed")?;
+        let tx = db.begin_write()?;
+        let count;
+        {
+            let mut meta = tx.open_table(META)?;
+            let mut log = tx.open_table(LOG)?;
+            // A commit that was acknowledged is not written over.
+            let (id, commits) = (meta_number(&meta, "id")?, meta_number(&meta, "commits")?);
+            if id != self.id || commits < self.commits {
+                return Err(
+                    format!("{} commits were acknowledged, {commits} are there", self.commits).into(),
+                );
+            }
+            count = commits + 1;
+            meta.insert("commits", count.to_le_bytes().as_slice())?;
+            for job in jobs {
+                let write = match job {
+                    Job::Cluster(cluster) => {
+                        meta.insert("cluster", cluster.to_le_bytes().as_slice())?;
+                        continue;
+                    }
+                    Job::Write { write, .. } => write,
+                };
+                if let Some((term, vote)) = write.hard {
+                    meta.insert("term", term.to_le_bytes().as_slice())?;
+                    meta.insert("vote", vote.to_le_bytes().as_slice())?;
+                }
+                if let Some(snapshot) = &write.snapshot {
+                    meta.insert("snapshot", snapshot.encode_to_vec().as_slice())?;
+                    log.retain_in(..=snapshot.index, |_, _| false)?;
+                }
+                if let Some(from) = write.cut_from {
+                    log.retain_in(from.., |_, _| false)?;
+                }
+                for entry in &write.entries {
+                    log.insert(entry.index, entry.encode_to_vec().as_slice())?;
+                }
+            }
         }
-    }
-
-    #[test]
-    fn what_was_written_comes_back_and_the_identity_stays() {
-        let folder = std::env::temp_dir().join(format!("vault-{}", rand::thread_rng().gen::<u64>()));
-        let folder = folder.to_str().expect("utf-8").to_string();
-        let (words, mut inbox) = tokio::sync::mpsc::unbounded_channel();
-        let first = Vault::open(&folder, words.clone()).expect("opens");
-        assert!(first.empty);
-        first.vault.set_cluster(9);
-        first.vault.write(
-            1,
-            Write {
-                hard: Some((2, 5)),
-                entries: (1..=6).map(entry).collect(),
-                ..Default::default()
-            },
-        );
-        let snapshot = Snapshot {
-            index: 2,
-            term: 2,
-            ..Default::default()
-        };
-        first.vault.write(
-            2,
-            Write {
-                snapshot: Some(snapshot),
-                cut_from: Some(5),
-                entries: vec![entry(5)],
-                ..Default::default()
-            },
-        );
-        while !matches!(inbox.blocking_recv(), Some(Word::Done(2))) {}
-        drop(first.vault);
-        std::thread::sleep(Duration::from_millis(50));
-        let again = Vault::open(&folder, words).expect("opens");
-        assert!(!again.empty);
-        assert_eq!(
-            (again.identity.id, again.identity.cluster),
-            (first.identity.id, 9)
-        );
-        assert_eq!(
-            (again.saved.term, again.saved.vote, again.saved.snapshot.index),
-            (2, 5, 2)
-        );
-        let kept: Vec<u64> = again.saved.entries.iter().map(|e| e.index).collect();
-        assert_eq!(kept, [3, 4, 5]);
-        std::fs::remove_dir_all(folder).ok();
+        tx.commit()?;
+        self.commits = count;
+        Ok(())
     }
 }
--- a/crates/rehearsal/src/node.rs
+++ b/crates/rehearsal/src/node.rs
@@ -29,6 +29,8 @@
 pub struct Life {
     pub prompter: Prompter,
     pub stage: Stage,
+    /// The state of a snapshot that the agreement has just taken.
+    arrived: Option<Stage>,
     pub wardrobe: Wardrobe,
     pub wardrobe_since: Option<u64>,
     pub next_poll: u64,
@@ -44,6 +46,24 @@
     pub following: Following,
 }
 
+impl Life {
+    /// Takes a message in. A snapshot that cannot be read is no message.
+    pub fn receive(&mut self, now: u64, from: u64, cue: Cue) {
+        let newer = cue.snapshot.as_ref().filter(|s| s.index > self.stage.index);
+        let read = newer.map(|s| (s.index, Stage::from_snapshot(s.index, &s.data)));
+        if let Some((_, Err(_))) = &read {
+            return;
+        }
+        let before = self.prompter.commit();
+        self.prompter.receive(now, from, cue);
+        if let Some((index, Ok(stage))) = read {
+            if before < index && self.prompter.commit() == index {
+                self.arrived = Some(stage);
+            }
+        }
+    }
+}
+
 /// An order of the operator that waits in the log.
 pub struct Pending {
     pub name: String,
@@ -85,9 +105,11 @@
             None => (id, prompter::Saved::default()),
         };
         let stage = Stage::from_snapshot(saved.snapshot.index, &saved.snapshot.data);
+        let stage = stage.expect("the disk gives back what was written");
         self.life = Some(Life {
             prompter: Prompter::new(id, saved, TIMING, now, id),
             stage,
+            arrived: None,
             wardrobe: Wardrobe::new(10_000, 300),
             wardrobe_since: None,
             next_poll: 0,
@@ -142,8 +164,9 @@
                 Some(_) => life.waiting.push_back((life.written, effects.after, last)),
             }
             if let Some(snapshot) = effects.install {
-                if snapshot.index > life.stage.index {
-                    life.stage = Stage::from_snapshot(snapshot.index, &snapshot.data);
+                // It was read when it arrived.
+                if let Some(stage) = life.arrived.take().filter(|s| s.index == snapshot.index) {
+                    life.stage = stage;
                 }
                 life.prompter.applied(life.stage.index);
             }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -258,7 +258,7 @@
                         .find(|n| n.id() == to)
                         .and_then(|n| n.life.as_mut())
                     {
-                        life.prompter.receive(now, sender, cue);
+                        life.receive(now, sender, cue);
                     }
                 }
                 Flight::Grant {
