The store on a disk that loses power or is full: real redb, planted fault found

Cause: what redb does with torn writes was taken on trust.

Change: two tests over redb with a storage backend that keeps what was synced and each write since. At a quarter of all writes and syncs the power goes: each write since the last sync is there, missing or torn at any byte. What was acknowledged is there, and at most the write under way besides. Saved can be compared.

Held already: both, by redb's one-phase commit. On a planted fault (a commit without a sync) both tests fail.

--- a/crates/playhouse/src/vault.rs
+++ b/crates/playhouse/src/vault.rs
@@ -7,6 +7,8 @@
 
 mod high_water;
 mod load;
+#[cfg(test)]
+mod power_tests;
 
 use high_water::HighWater;
 use playbill::constants as c;
--- a/crates/playhouse/src/vault/load.rs
+++ b/crates/playhouse/src/vault/load.rs
@@ -149,9 +149,9 @@
     }
 }
 
-type Content = (Identity, Saved, u64);
+pub(super) type Content = (Identity, Saved, u64);
 
-fn read_all(db: &Database) -> Fallible<Result<Content, Unfit>> {
+pub(super) fn read_all(db: &Database) -> Fallible<Result<Content, Unfit>> {
     let tx = db.begin_read()?;
     let meta = tx.open_table(META)?;
     let get = |name: &str| meta_number(&meta, name);
--- a/crates/prompter/src/machine.rs
+++ b/crates/prompter/src/machine.rs
@@ -33,7 +33,7 @@
 }
 
 /// What a disk gave back at the start.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct Saved {
     pub term: u64,
     pub vote: u64,
