Front and upstream go by the state machine of an attempt

Change: `Upstream::call` drives `usher::Attempt`, reads while it sends, knows lines that cannot tell doubles, and takes a success only with one matching id, the stamp and a length or chunks. `Front` decides on repeats and promises by `Tries`; a client's connection that was told to end runs nothing more.

Held already: closed after a time-out, strange answers passed over and the connection dropped, resets and half-closes in any state sent once and answered 502, bodies that nobody read are no requests.

Not done: the first answers of a pipeline that ends in a close bear `Connection: close` as well, by the library; what follows is answered in turn.

--- a/crates/playhouse/src/forwarding_tests.rs
+++ b/crates/playhouse/src/forwarding_tests.rs
@@ -41,7 +41,7 @@
 }
 
 /// Reads one request with a length, or none.
-async fn read_request(io: &mut TcpStream) -> Option<String> {
+pub(crate) async fn read_request(io: &mut TcpStream) -> Option<String> {
     let mut got = Vec::new();
     let mut byte = [0u8; 1];
     while !got.ends_with(b"\r\n\r\n") {
@@ -114,7 +114,7 @@
         .port()
 }
 
-const CONFIG: &str = r#"{"Version":1,"Limits":{"HeaderMaxBytes":2000,"BodyMaxBytes":1000,"HeaderTimeout":"9s","IdleTimeout":"9s"},
+pub(crate) const CONFIG: &str = r#"{"Version":1,"Limits":{"HeaderMaxBytes":2000,"BodyMaxBytes":1000,"HeaderTimeout":"9s","IdleTimeout":"9s"},
     "AccessPoints":[{"Host":"a.example","Rules":[
       {"Name":"again","RouteType":"idempotent","Condition":{"PathPrefix":"/again/"},"Treatment":{"Service":"s","Timeout":"20s","AttemptLimit":2}},
       {"Name":"short","RouteType":"idempotent","Condition":{"PathPrefix":"/short/"},"Treatment":{"Service":"s","Timeout":"50ms","AttemptLimit":2}},
@@ -123,12 +123,12 @@
 
 /// A front whose service has these workers; it may send as many further tries
 /// as it likes. The address clients use.
-async fn front(workers: &[String]) -> SocketAddrV4 {
+pub(crate) async fn front(workers: &[String]) -> SocketAddrV4 {
     house(workers).await.1
 }
 
 /// The same, with the house that it stands in.
-async fn house(workers: &[String]) -> (Rc<House>, SocketAddrV4) {
+pub(crate) async fn house(workers: &[String]) -> (Rc<House>, SocketAddrV4) {
     let port = free_port();
     let text = format!(
         r#"
@@ -204,7 +204,7 @@
 }
 
 /// Sends bytes and reads until the front closes.
-async fn raw(front: SocketAddrV4, text: &str) -> String {
+pub(crate) async fn raw(front: SocketAddrV4, text: &str) -> String {
     let mut io = TcpStream::connect(front).await.expect("connects");
     io.write_all(text.as_bytes()).await.expect("sends");
     let mut got = Vec::new();
@@ -212,15 +212,15 @@
     String::from_utf8_lossy(&got).into_owned()
 }
 
-fn get(path: &str) -> String {
+pub(crate) fn get(path: &str) -> String {
     format!("GET {path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 7\r\nConnection: close, X-Hop\r\nX-Hop: 1\r\nX-Kept: 2\r\n\r\n")
 }
 
-fn post(path: &str, body: &str) -> String {
+pub(crate) fn post(path: &str, body: &str) -> String {
     format!("POST {path} HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 7\r\nConnection: close\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
 
-fn status(answer: &str) -> &str {
+pub(crate) fn status(answer: &str) -> &str {
     answer.split(' ').nth(1).unwrap_or("")
 }
 
--- a/crates/playhouse/src/front.rs
+++ b/crates/playhouse/src/front.rs
@@ -5,7 +5,7 @@
 use crate::desk::{Choose, Desk, DrawService, Observe};
 use crate::kernel::{House, Plugin};
 use crate::sockets;
-use crate::upstream::{Answer, AnswerBody, Fault, Parts, Sending, Terms, Upstream};
+use crate::upstream::{Answer, AnswerBody, Fault, Pairing, Parts, Sending, Terms, Upstream};
 use actix::prelude::*;
 use actix_http::body::{BodySize, BoxBody, MessageBody, SizedStream};
 use actix_http::error::DispatchError;
@@ -25,7 +25,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
-use usher::{Choice, Found, Observed, Ticket, Usher};
+use usher::{Choice, Found, Observed, Outcome, Ticket, Tries};
 
 inventory::submit! { Plugin { name: "front", order: 80, start } }
 
@@ -82,6 +82,11 @@
     running: Cell<u64>,
 }
 
+/// Whether a client's connection has been told to end: what the client sent
+/// ahead (pipelined) behind that is not run, since it may have gone elsewhere.
+#[derive(Clone, Default)]
+struct Closed(Rc<Cell<bool>>);
+
 /// Header and idle time, in ms.
 type Times = (u64, u64);
 
@@ -108,6 +113,9 @@
             .client_request_timeout(Duration::from_millis(header_ms))
             .client_disconnect_timeout(Duration::from_millis(c::CONNECT_MS))
             .h1_allow_half_closed(false)
+            .on_connect_ext(|_: &TcpStream, data| {
+                data.insert(Closed::default());
+            })
             .h1(service)
             .tcp();
         let service = factory.new_service(()).await.ok()?;
@@ -118,6 +126,11 @@
         self.running.set(self.running.get() + 1);
         let counted = Running(&self.running);
         let close = self.house.leaving.get();
+        let closed = request.conn_data::<Closed>().cloned().unwrap_or_default();
+        if closed.0.get() {
+            return closing(self.give_up("behind_a_close", c::RETRY_AFTER_MS));
+        }
+        let asked = request.head().connection_type() == ConnectionType::Close;
         let mut response = match self.handle(request).await {
             Ok(response) | Err(response) => response,
         };
@@ -125,6 +138,8 @@
         if close || self.house.leaving.get() {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
+        let said = response.head().connection_type() == ConnectionType::Close;
+        closed.0.set(asked || said);
         response
     }
 
@@ -217,14 +232,16 @@
     ) -> Result<Response<BoxBody>, Response<BoxBody>> {
         let mut body = Some(body);
         let mut tried: Vec<String> = Vec::new();
-        let mut sent = false;
+        // Two workers may share an address, one of them gone.
+        let mut addresses: Vec<String> = Vec::new();
+        let mut tries = Tries::new(task.route.kind == RouteKind::NonIdempotent);
         // What the first worker answered, if it was an error and nobody else
         // can do better.
         let mut erred: Option<Response<BoxBody>> = None;
         loop {
             let left = task.ends.saturating_duration_since(Instant::now());
             if left.is_zero() {
-                return Err(self.too_late(sent));
+                return Err(self.too_late(tries));
             }
             let choose = Choose {
                 route: task.route.clone(),
@@ -236,8 +253,12 @@
             };
             let choice = match self.desk.send(choose).await {
                 Ok(Found::Worker(choice)) => choice,
-                Ok(Found::Nobody(wait)) if !sent => return Err(self.give_up("refused_nobody", wait)),
-                Ok(Found::Spent) if !sent => return Err(self.give_up("refused_budget", c::RETRY_AFTER_MS)),
+                Ok(Found::Nobody(wait)) if tries.may_promise() => {
+                    return Err(self.give_up("refused_nobody", wait))
+                }
+                Ok(Found::Spent) if tries.may_promise() => {
+                    return Err(self.give_up("refused_budget", c::RETRY_AFTER_MS))
+                }
                 _ => return erred.ok_or_else(|| plain(StatusCode::BAD_GATEWAY, "the worker failed")),
             };
             let seat = Seat {
@@ -254,45 +275,44 @@
                 },
             };
             let again = matches!(body, Some(Body::Whole(_)));
-            let tries = tried.len() as u32 + 1;
-            match self.one_try(request, &task, &choice, sending, left, seat).await {
+            let last = tried.len() as u32 + 1 >= task.route.attempts || !again;
+            let fresh = addresses.contains(&choice.address);
+            match self.one_try(request, &task, &choice, sending, seat, fresh).await {
                 Try::Answered(response) => return Ok(response),
-                Try::Late => return Err(self.too_late(true)),
+                Try::Late => {
+                    tries.note(Outcome::MayHaveRun);
+                    return Err(self.too_late(tries));
+                }
+                Try::Erred(response) if last => return Ok(response),
                 Try::Erred(response) => {
-                    if tries >= task.route.attempts || !again {
-                        return Ok(response);
-                    }
-                    sent = true;
+                    tries.note(Outcome::Answered);
                     erred = Some(response);
                 }
-                Try::NotRun => {
-                    if tries >= task.route.attempts || !again {
-                        return Err(if sent {
-                            plain(StatusCode::BAD_GATEWAY, "the worker failed")
-                        } else {
+                Try::Failed(outcome) => {
+                    tries.note(outcome);
+                    if last || !tries.may_repeat() {
+                        if outcome == Outcome::MayHaveRun {
+                            self.house.counters.add("worker_failed");
+                        }
+                        return Err(if tries.may_promise() {
                             self.give_up("refused_by_workers", c::RETRY_AFTER_MS)
+                        } else {
+                            plain(StatusCode::BAD_GATEWAY, "the worker failed")
                         });
                     }
                 }
-                Try::MayHaveRun => {
-                    sent = true;
-                    let repeat = Usher::may_repeat(task.route.kind, true);
-                    if !repeat || tries >= task.route.attempts || !again {
-                        self.house.counters.add("worker_failed");
-                        return Err(plain(StatusCode::BAD_GATEWAY, "the worker failed"));
-                    }
-                }
             }
             tried.push(choice.id);
+            addresses.push(choice.address);
         }
     }
 
-    fn too_late(&self, sent: bool) -> Response<BoxBody> {
-        if sent {
+    fn too_late(&self, tries: Tries) -> Response<BoxBody> {
+        if tries.may_promise() {
+            self.give_up("refused_late", c::RETRY_AFTER_MS)
+        } else {
             self.house.counters.add("too_late");
             plain(StatusCode::GATEWAY_TIMEOUT, "out of time")
-        } else {
-            self.give_up("refused_late", c::RETRY_AFTER_MS)
         }
     }
 
@@ -302,19 +322,21 @@
         task: &Task,
         choice: &Choice,
         sending: Sending,
-        left: Duration,
         seat: Seat,
+        fresh: bool,
     ) -> Try {
+        let left = task.ends.saturating_duration_since(Instant::now());
         let head = worker_head(request, choice, left);
         let once = task.route.kind == RouteKind::NonIdempotent;
         let terms = Terms {
-            reuse_ms: if once {
-                c::IDLE_REUSE_ONCE_MS
-            } else {
-                c::IDLE_REUSE_MS
+            reuse_ms: match () {
+                () if fresh => 0,
+                () if once => c::IDLE_REUSE_ONCE_MS,
+                () => c::IDLE_REUSE_MS,
             },
             connect_ms: c::WORKER_CONNECT_MS + 2 * choice.rtt_ms as u64,
             silence_ms: c::WORKER_SILENCE_MS + 2 * choice.rtt_ms as u64,
+            pairing: if once { Pairing::IdOnce } else { Pairing::Id },
         };
         let begun = Instant::now();
         let call = self.upstream.call(&choice.address, head, sending, terms);
@@ -323,34 +345,35 @@
             Ok(Err(fault)) => {
                 seat.end(Observed::Failed);
                 self.house.counters.add("tries_failed");
-                return match fault {
-                    Fault::NotSent => Try::NotRun,
-                    Fault::Unclear => Try::MayHaveRun,
-                };
+                return Try::Failed(match fault {
+                    Fault::NotSent => Outcome::NotRun,
+                    Fault::Unclear => Outcome::MayHaveRun,
+                });
             }
             Err(_) => {
                 seat.end(Observed::Late);
                 return Try::Late;
             }
         };
-        let not_run = answer.headers.contains_key("Not-Executed");
-        if answer.status == StatusCode::MISDIRECTED_REQUEST {
-            let other = answer.headers.get("Instance-Id").and_then(|v| v.to_str().ok());
-            let gone = other.is_some_and(|id| id != choice.id);
-            seat.end(if gone { Observed::Gone } else { Observed::Elsewhere });
-            self.house.counters.add("elsewhere");
-            return Try::NotRun;
-        }
-        if not_run && answer.status.as_u16() >= 429 {
-            seat.end(Observed::TurnedAway);
-            self.house.counters.add("turned_away");
-            return Try::NotRun;
-        }
-        let promise = matches!(answer.status.as_u16(), 408 | 429 | 503) && !not_run;
-        if promise {
-            // The worker did not say that it has not run, so neither may we.
-            seat.end(Observed::Failed);
-            return Try::MayHaveRun;
+        match answer.outcome {
+            Outcome::Answered => {}
+            // The worker did not say that it has not run, or another may have.
+            Outcome::MayHaveRun => {
+                seat.end(Observed::Failed);
+                return Try::Failed(Outcome::MayHaveRun);
+            }
+            outcome if answer.status == StatusCode::MISDIRECTED_REQUEST => {
+                let other = answer.headers.get("Instance-Id").and_then(|v| v.to_str().ok());
+                let gone = other.is_some_and(|id| id != choice.id);
+                seat.end(if gone { Observed::Gone } else { Observed::Elsewhere });
+                self.house.counters.add("elsewhere");
+                return Try::Failed(outcome);
+            }
+            outcome => {
+                seat.end(Observed::TurnedAway);
+                self.house.counters.add("turned_away");
+                return Try::Failed(outcome);
+            }
         }
         let took = begun.elapsed().as_secs_f64() * 1000.0 - choice.rtt_ms;
         if answer.status.is_server_error() && matches!(answer.body, AnswerBody::Whole(_)) {
@@ -374,8 +397,7 @@
     Answered(Response<BoxBody>),
     /// An error of the worker's own, to a request that may run again.
     Erred(Response<BoxBody>),
-    NotRun,
-    MayHaveRun,
+    Failed(Outcome),
     Late,
 }
 
--- a/crates/playhouse/src/main.rs
+++ b/crates/playhouse/src/main.rs
@@ -18,6 +18,8 @@
 mod upstream;
 mod vault;
 
+#[cfg(test)]
+mod answers_tests;
 #[cfg(test)]
 mod forwarding_tests;
 #[cfg(test)]
--- a/crates/playhouse/src/upstream.rs
+++ b/crates/playhouse/src/upstream.rs
@@ -7,8 +7,9 @@
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
 use actix_http::header::{self, HeaderMap, HeaderValue};
-use actix_http::{RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
+use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Bytes, BytesMut};
+use futures_util::future::{select, Either};
 use futures_util::{Stream, StreamExt};
 use playbill::constants as c;
 use std::cell::{Cell, RefCell};
@@ -16,8 +17,9 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use tokio::net::TcpStream;
+use usher::{Attempt, Echo, Head, Outcome, Phase, Taken};
 
 /// A stream of body parts.
 pub type Parts = Pin<Box<dyn Stream<Item = std::io::Result<Bytes>>>>;
@@ -46,6 +48,8 @@
     pub status: StatusCode,
     pub headers: HeaderMap,
     pub body: AnswerBody,
+    /// What it proves of the request.
+    pub outcome: Outcome,
 }
 
 /// How one call is to be made.
@@ -55,12 +59,32 @@
     pub connect_ms: u64,
     /// Bytes without an acknowledgement end the connection after this time.
     pub silence_ms: u64,
+    /// What the answer must echo.
+    pub pairing: Pairing,
+}
+
+/// How an answer is told from those to others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Pairing {
+    /// It echoes the id of the request, which must not run twice.
+    IdOnce,
+    /// It echoes the id of the request.
+    Id,
+    /// By the connection alone: the peer echoes nothing.
+    Connection,
 }
 
 struct Line {
     io: TcpStream,
     buf: BytesMut,
     codec: ClientCodec,
+    /// It has carried an answer without an id: a doubled one would bear none.
+    nameless: bool,
+}
+
+/// Nothing has come in: no end, no stray bytes.
+fn is_quiet(io: &TcpStream) -> bool {
+    matches!(io.try_read(&mut [0u8; 1]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
 }
 
 struct Idle {
@@ -116,7 +140,7 @@
     }
 
     /// An idle connection, and how long it has rested.
-    fn take_idle(&self, address: &str, reuse_ms: u64) -> Option<(Line, Duration)> {
+    fn take_idle(&self, address: &str, reuse_ms: u64, pairing: Pairing) -> Option<(Line, Duration)> {
         let now = Instant::now();
         let reuse_ms = match self.wary.get() {
             Some((least, until)) if now < until => reuse_ms.min(least),
@@ -124,12 +148,16 @@
         };
         let mut idle = self.idle.borrow_mut();
         let lines = idle.get_mut(address)?;
-        while let Some(i) = lines.pop() {
+        let usable = |i: &Idle| {
             let young = now.duration_since(i.since) < Duration::from_millis(reuse_ms);
-            // Anything to read, an end or stray bytes, makes it useless.
-            let mut probe = [0u8; 1];
-            let quiet = matches!(i.line.io.try_read(&mut probe), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock);
-            if young && now < i.until && quiet && i.line.buf.is_empty() {
+            young && now < i.until && i.line.buf.is_empty() && is_quiet(&i.line.io)
+        };
+        for at in (0..lines.len()).rev() {
+            if pairing == Pairing::IdOnce && lines[at].line.nameless {
+                continue;
+            }
+            let i = lines.remove(at);
+            if usable(&i) {
                 return Some((i.line, now.duration_since(i.since)));
             }
         }
@@ -149,61 +177,64 @@
         }
     }
 
+    /// A connection to make a call on, and how long it has rested if it did.
+    async fn line(&self, address: &str, terms: &Terms) -> Result<(Line, Option<Duration>), Fault> {
+        if let Some((line, rested)) = self.take_idle(address, terms.reuse_ms, terms.pairing) {
+            return Ok((line, Some(rested)));
+        }
+        let io = sockets::connect_for(address, terms.connect_ms, terms.silence_ms).await;
+        let io = io.map_err(|_| Fault::NotSent)?;
+        if !is_quiet(&io) {
+            return Err(Fault::NotSent);
+        }
+        let line = Line {
+            io,
+            buf: BytesMut::new(),
+            codec: ClientCodec::new(self.config.clone()),
+            nameless: false,
+        };
+        Ok((line, None))
+    }
+
     /// Makes one call. Bodies up to [`c::WHOLE_BODY_BYTES`] come back whole.
     pub async fn call(
         self: &Rc<Self>,
         address: &str,
         head: RequestHead,
         body: Sending,
-        terms: Terms,
+        mut terms: Terms,
     ) -> Result<Answer, Fault> {
-        let reused = if terms.reuse_ms > 0 {
-            self.take_idle(address, terms.reuse_ms)
-        } else {
-            None
+        let id = match terms.pairing {
+            Pairing::Connection => None,
+            Pairing::IdOnce | Pairing::Id => single(&head.headers, ATTEMPT).cloned(),
         };
-        let (mut line, rested) = match reused {
-            Some((line, rested)) => (line, Some(rested)),
-            None => (
-                Line {
-                    io: sockets::connect_for(address, terms.connect_ms, terms.silence_ms)
-                        .await
-                        .map_err(|_| Fault::NotSent)?,
-                    buf: BytesMut::new(),
-                    codec: ClientCodec::new(self.config.clone()),
-                },
-                None,
-            ),
+        // Without an id the connection pairs, so nobody else may use it.
+        let alone = id.is_none() && terms.pairing != Pairing::Connection;
+        if alone {
+            terms.reuse_ms = 0;
+        }
+        let (line, rested) = self.line(address, &terms).await?;
+        let mut exchange = Exchange {
+            attempt: match id {
+                Some(_) => Attempt::named(line.nameless),
+                None => Attempt::unnamed(),
+            },
+            id,
+            bodiless: head.method == Method::HEAD,
+            line: Some(line),
         };
-        let attempt = head.headers.get(ATTEMPT).cloned();
-        let ended = |fault| {
-            if let Some(rested) = rested {
+        let run = exchange.run(head, body).await;
+        let (Ok(head), Some(mut line)) = (run, exchange.line.take()) else {
+            let (fault, forgotten) = exchange.fault();
+            if let (Some(rested), true) = (rested, forgotten) {
                 self.forgotten(rested);
             }
-            fault
-        };
-        send(&mut line, head, body).await.map_err(ended)?;
-        let mut strangers = 0;
-        let head = loop {
-            let read = read_head(&mut line).await;
-            let head = read.map_err(|()| {
-                if line.buf.is_empty() {
-                    ended(Fault::Unclear)
-                } else {
-                    Fault::Unclear
-                }
-            })?;
-            if answers(&head, attempt.as_ref()) {
-                break head;
-            }
-            // A surplus answer to somebody else stands where ours is due.
-            strangers += 1;
-            if strangers > c::STRANGE_ANSWERS {
-                return Err(Fault::Unclear);
-            }
-            line = pass_over(line).await.map_err(|()| Fault::Unclear)?;
+            return Err(fault);
         };
-        let idle_ms = if strangers > 0 || says_close(&head.headers) {
+        let mut attempt = exchange.attempt;
+        line.nameless = attempt.is_nameless();
+        let framed = exchange.bodiless || is_framed(&head);
+        let idle_ms = if alone || !framed || says_close(&head.headers) {
             0
         } else {
             idle_time(&head.headers)
@@ -212,25 +243,25 @@
             status: head.status,
             headers: head.headers.clone(),
             body: AnswerBody::Whole(Bytes::new()),
+            outcome: Outcome::MayHaveRun,
         };
         let kind = line.codec.message_type();
         if kind == MessageType::None {
-            self.finish(address, line, idle_ms);
+            attempt.ended();
+            answer.outcome = attempt.outcome();
+            self.finish(address, line, idle_ms, &attempt);
             return Ok(answer);
         }
-        let mut reader = Reader {
-            io: line.io,
-            buf: line.buf,
-            codec: line.codec.into_payload_codec(),
-            to_end: kind == MessageType::Stream,
-        };
+        let mut reader = Reader::new(line);
         let mut whole = BytesMut::new();
         while whole.len() <= c::WHOLE_BODY_BYTES {
             match reader.next().await {
                 Ok(Some(part)) if whole.is_empty() => whole = BytesMut::from(part),
                 Ok(Some(part)) => whole.extend_from_slice(&part),
                 Ok(None) => {
-                    self.finish_reader(address, reader, idle_ms);
+                    attempt.ended();
+                    answer.outcome = attempt.outcome();
+                    self.finish_reader(address, reader, idle_ms, &attempt);
                     answer.body = AnswerBody::Whole(whole.freeze());
                     return Ok(answer);
                 }
@@ -242,64 +273,164 @@
             .get(header::CONTENT_LENGTH)
             .and_then(|v| v.to_str().ok())
             .and_then(|v| v.parse().ok());
-        answer.body = AnswerBody::Streamed(
-            self.clone()
-                .rest(address.to_string(), whole.freeze(), reader, idle_ms),
-            length,
-        );
+        answer.outcome = attempt.outcome();
+        let rest = Rest {
+            first: Some(whole.freeze()),
+            reader,
+            upstream: self.clone(),
+            address: address.to_string(),
+            attempt,
+            idle_ms,
+        };
+        answer.body = AnswerBody::Streamed(rest.into_parts(), length);
         Ok(answer)
     }
 
-    fn rest(self: Rc<Self>, address: String, first: Bytes, reader: Reader, idle_ms: u64) -> Parts {
-        let state = Some((Some(first), reader, self, address));
-        Box::pin(futures_util::stream::unfold(state, move |state| async move {
-            let (first, mut reader, me, address) = state?;
-            if let Some(first) = first {
-                return Some((Ok(first), Some((None, reader, me, address))));
+    /// Keeps the connection if the attempt lets another request use it.
+    fn finish(&self, address: &str, line: Line, idle_ms: u64, attempt: &Attempt) {
+        let usable = attempt.may_pool() && line.codec.keep_alive() && line.buf.is_empty();
+        if idle_ms > 0 && usable {
+            self.keep(address, line, idle_ms);
+        }
+    }
+
+    fn finish_reader(&self, address: &str, reader: Reader, idle_ms: u64, attempt: &Attempt) {
+        if let Some(line) = reader.into_line() {
+            self.finish(address, line, idle_ms, attempt);
+        }
+    }
+}
+
+/// The part of an answer that is passed on as it comes.
+struct Rest {
+    first: Option<Bytes>,
+    reader: Reader,
+    upstream: Rc<Upstream>,
+    address: String,
+    attempt: Attempt,
+    idle_ms: u64,
+}
+
+impl Rest {
+    fn into_parts(self) -> Parts {
+        Box::pin(futures_util::stream::unfold(Some(self), |rest| async move {
+            let mut rest = rest?;
+            if let Some(first) = rest.first.take() {
+                return Some((Ok(first), Some(rest)));
             }
-            match reader.next().await {
-                Ok(Some(part)) => Some((Ok(part), Some((None, reader, me, address)))),
+            match rest.reader.next().await {
+                Ok(Some(part)) => Some((Ok(part), Some(rest))),
                 Ok(None) => {
-                    me.finish_reader(&address, reader, idle_ms);
+                    rest.attempt.ended();
+                    rest.upstream
+                        .finish_reader(&rest.address, rest.reader, rest.idle_ms, &rest.attempt);
                     None
                 }
                 Err(()) => Some((Err(std::io::Error::other("the worker broke off")), None)),
             }
         }))
     }
+}
 
-    fn finish(&self, address: &str, line: Line, idle_ms: u64) {
-        if idle_ms > 0 && line.codec.keep_alive() && line.buf.is_empty() {
-            self.keep(address, line, idle_ms);
+/// A call on its connection, until the head of its answer has come.
+struct Exchange {
+    /// Gone once it cannot be read any more.
+    line: Option<Line>,
+    attempt: Attempt,
+    id: Option<HeaderValue>,
+    /// Its answer has no body whatever the head says.
+    bodiless: bool,
+}
+
+impl Exchange {
+    /// Sends the request and reads on until a head that is ours. The peer is
+    /// heard while the body is sent: it may answer before the end.
+    async fn run(&mut self, head: RequestHead, body: Sending) -> Result<ResponseHead, ()> {
+        let line = self.line.as_mut().ok_or(())?;
+        let (out, mut rest) = encode(&mut line.codec, head, body)?;
+        // What the kernel took at first tells not sent from in part.
+        let taken = match line.io.write(&out).await {
+            Ok(n) if n > 0 => n,
+            _ => return Err(()),
+        };
+        let all = taken == out.len() && rest.is_none();
+        self.attempt.wrote(all);
+        if !all {
+            let Line { io, buf, codec, .. } = line;
+            let (mut reading, mut writing) = io.split();
+            let mut sending = std::pin::pin!(send(&mut writing, &out[taken..], rest.as_mut()));
+            loop {
+                let heard = std::pin::pin!(read_head(&mut reading, buf, codec));
+                let head = match select(heard, sending.as_mut()).await {
+                    Either::Left((head, _)) => head?,
+                    Either::Right((sent, _)) => break sent?,
+                };
+                match self.attempt.head(judge(&head, self.id.as_ref(), self.bodiless)) {
+                    Taken::Ours => return Ok(head),
+                    Taken::Interim => {}
+                    // Its body would have to be passed over meanwhile.
+                    Taken::Stranger | Taken::Broken => return Err(()),
+                }
+            }
+            self.attempt.wrote(true);
+        }
+        loop {
+            let Line { io, buf, codec, .. } = self.line.as_mut().ok_or(())?;
+            let head = read_head(io, buf, codec).await?;
+            match self.attempt.head(judge(&head, self.id.as_ref(), self.bodiless)) {
+                Taken::Ours => return Ok(head),
+                Taken::Interim => {}
+                // A surplus answer to somebody else stands where ours is due.
+                Taken::Stranger => {
+                    let line = self.line.take().ok_or(())?;
+                    self.line = Some(pass_over(line).await?);
+                }
+                Taken::Broken => return Err(()),
+            }
         }
     }
 
-    fn finish_reader(&self, address: &str, reader: Reader, idle_ms: u64) {
-        if !reader.to_end {
-            let Reader { io, buf, codec, .. } = reader;
-            self.finish(
-                address,
-                Line {
-                    io,
-                    buf,
-                    codec: codec.into_message_codec(),
-                },
-                idle_ms,
-            );
-        }
+    /// How a call failed, and whether its connection seems to have been closed
+    /// before it.
+    fn fault(&self) -> (Fault, bool) {
+        let silent = self.line.as_ref().is_some_and(|l| l.buf.is_empty());
+        let fault = match self.attempt.outcome() {
+            Outcome::NotRun => Fault::NotSent,
+            _ => Fault::Unclear,
+        };
+        (fault, silent && self.attempt.phase() < Phase::Begun)
     }
 }
 
 /// Workers echo the id of the try that an answer belongs to.
 const ATTEMPT: &str = "attempt-id";
 
-/// Whether an answer belongs to the try of this id. A success must say so;
-/// what turns a request away may leave the id out.
-fn answers(head: &ResponseHead, attempt: Option<&HeaderValue>) -> bool {
-    match (attempt, head.headers.get(ATTEMPT)) {
-        (None, _) => true,
-        (Some(_), None) => !head.status.is_success(),
-        (Some(ours), Some(theirs)) => ours == theirs,
+/// The one value of a header.
+fn single<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a HeaderValue> {
+    let mut all = headers.get_all(name);
+    all.next().filter(|_| all.next().is_none())
+}
+
+/// Whether one can tell where the body of an answer ends; if only by the end of
+/// the connection, a cut looks like an end.
+fn is_framed(head: &ResponseHead) -> bool {
+    let told = [header::CONTENT_LENGTH, header::TRANSFER_ENCODING];
+    let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED];
+    bodiless.contains(&head.status) || told.iter().any(|h| head.headers.contains_key(h))
+}
+
+/// What a head says of the request of this id.
+fn judge(head: &ResponseHead, id: Option<&HeaderValue>, bodiless: bool) -> Head {
+    let headers = &head.headers;
+    Head {
+        status: head.status.as_u16(),
+        echo: match (id, single(headers, ATTEMPT)) {
+            (Some(ours), Some(theirs)) if ours == theirs => Echo::Ours,
+            _ if headers.contains_key(ATTEMPT) => Echo::Other,
+            _ => Echo::Missing,
+        },
+        not_executed: headers.contains_key("not-executed"),
+        sealed: headers.contains_key("server-seal") && (bodiless || is_framed(head)),
     }
 }
 
@@ -308,21 +439,9 @@
     if line.codec.message_type() == MessageType::None {
         return Ok(line);
     }
-    let mut reader = Reader {
-        to_end: line.codec.message_type() == MessageType::Stream,
-        io: line.io,
-        buf: line.buf,
-        codec: line.codec.into_payload_codec(),
-    };
+    let mut reader = Reader::new(line);
     while reader.next().await?.is_some() {}
-    if reader.to_end {
-        return Err(());
-    }
-    Ok(Line {
-        io: reader.io,
-        buf: reader.buf,
-        codec: reader.codec.into_message_codec(),
-    })
+    reader.into_line().ok_or(())
 }
 
 fn says_close(headers: &HeaderMap) -> bool {
@@ -345,69 +464,78 @@
     }
 }
 
-async fn send(line: &mut Line, head: RequestHead, body: Sending) -> Result<(), Fault> {
+/// The rest of a body, and whether it goes out in chunks.
+type Remaining = (Parts, bool);
+
+/// The bytes of a request as far as they are at hand, and what is left of it.
+fn encode(
+    codec: &mut ClientCodec,
+    head: RequestHead,
+    body: Sending,
+) -> Result<(BytesMut, Option<Remaining>), ()> {
     let mut out = BytesMut::with_capacity(1024);
-    let (size, first, mut rest) = match body {
+    let (size, first, rest) = match body {
         Sending::Whole(b) if b.is_empty() => (BodySize::None, b, None),
         Sending::Whole(b) => (BodySize::Sized(b.len() as u64), b, None),
-        Sending::Streamed(first, rest, length) => (
-            length.map_or(BodySize::Stream, BodySize::Sized),
-            first,
-            Some(rest),
-        ),
+        Sending::Streamed(first, rest, Some(length)) => (BodySize::Sized(length), first, Some((rest, false))),
+        Sending::Streamed(first, rest, None) => (BodySize::Stream, first, Some((rest, true))),
     };
     let head = RequestHeadType::Owned(head);
-    line.codec
-        .encode(Message::Item((head, size)), &mut out)
-        .map_err(|_| Fault::NotSent)?;
+    let mut put = |message| codec.encode(message, &mut out).map_err(|_| ());
+    put(Message::Item((head, size)))?;
     if !first.is_empty() {
-        line.codec
-            .encode(Message::Chunk(Some(first)), &mut out)
-            .map_err(|_| Fault::NotSent)?;
+        put(Message::Chunk(Some(first)))?;
     }
     if rest.is_none() && size != BodySize::None {
-        line.codec
-            .encode(Message::Chunk(None), &mut out)
-            .map_err(|_| Fault::NotSent)?;
+        put(Message::Chunk(None))?;
     }
-    let mut gone = 0;
-    while gone < out.len() {
-        match line.io.write(&out[gone..]).await {
-            Ok(n) if n > 0 => gone += n,
-            _ => return Err(if gone == 0 { Fault::NotSent } else { Fault::Unclear }),
+    Ok((out, rest))
+}
+
+/// Sends what is left of a request. A body that breaks off gets no end.
+async fn send(
+    io: &mut (impl AsyncWrite + Unpin),
+    out: &[u8],
+    rest: Option<&mut Remaining>,
+) -> Result<(), ()> {
+    io.write_all(out).await.map_err(|_| ())?;
+    let Some((parts, chunked)) = rest else {
+        return Ok(());
+    };
+    while let Some(part) = parts.next().await {
+        let part = part.map_err(|_| ())?;
+        if part.is_empty() {
+            continue;
         }
-    }
-    if let Some(parts) = &mut rest {
-        while let Some(part) = parts.next().await {
-            let part = part.map_err(|_| Fault::Unclear)?;
-            out.clear();
-            line.codec
-                .encode(Message::Chunk(Some(part)), &mut out)
-                .map_err(|_| Fault::Unclear)?;
-            line.io.write_all(&out).await.map_err(|_| Fault::Unclear)?;
+        if !*chunked {
+            io.write_all(&part).await.map_err(|_| ())?;
+            continue;
         }
-        out.clear();
-        line.codec
-            .encode(Message::Chunk(None), &mut out)
-            .map_err(|_| Fault::Unclear)?;
-        line.io.write_all(&out).await.map_err(|_| Fault::Unclear)?;
+        let mut chunk = BytesMut::with_capacity(part.len() + 20);
+        chunk.extend_from_slice(format!("{:x}\r\n", part.len()).as_bytes());
+        chunk.extend_from_slice(&part);
+        chunk.extend_from_slice(b"\r\n");
+        io.write_all(&chunk).await.map_err(|_| ())?;
+    }
+    if *chunked {
+        io.write_all(b"0\r\n\r\n").await.map_err(|_| ())?;
     }
     Ok(())
 }
 
-async fn read_head(line: &mut Line) -> Result<ResponseHead, ()> {
+/// Reads the head of an answer; it may be dropped and called again.
+async fn read_head(
+    io: &mut (impl AsyncRead + Unpin),
+    buf: &mut BytesMut,
+    codec: &mut ClientCodec,
+) -> Result<ResponseHead, ()> {
     loop {
-        if !line.buf.is_empty() {
-            if let Some(head) = line.codec.decode(&mut line.buf).map_err(|_| ())? {
-                // Interim answers are not asked for.
-                return if head.status.is_informational() {
-                    Err(())
-                } else {
-                    Ok(head)
-                };
+        if !buf.is_empty() {
+            if let Some(head) = codec.decode(buf).map_err(|_| ())? {
+                return Ok(head);
             }
         }
-        match line.io.read_buf(&mut line.buf).await {
+        match io.read_buf(buf).await {
             Ok(n) if n > 0 => {}
             _ => return Err(()),
         }
@@ -420,9 +548,30 @@
     codec: ClientPayloadCodec,
     /// The body ends where the connection does.
     to_end: bool,
+    nameless: bool,
 }
 
 impl Reader {
+    fn new(line: Line) -> Reader {
+        Reader {
+            to_end: line.codec.message_type() == MessageType::Stream,
+            io: line.io,
+            buf: line.buf,
+            codec: line.codec.into_payload_codec(),
+            nameless: line.nameless,
+        }
+    }
+
+    /// The connection, if it goes on after the body.
+    fn into_line(self) -> Option<Line> {
+        (!self.to_end).then(|| Line {
+            io: self.io,
+            buf: self.buf,
+            codec: self.codec.into_message_codec(),
+            nameless: self.nameless,
+        })
+    }
+
     /// The next part; `None` at the proper end.
     async fn next(&mut self) -> Result<Option<Bytes>, ()> {
         loop {
@@ -461,6 +610,7 @@
         reuse_ms: c::IDLE_REUSE_ONCE_MS,
         connect_ms: c::CONNECT_MS.min(wait_ms),
         silence_ms: c::WORKER_SILENCE_MS + 2 * c::FAR_MS as u64,
+        pairing: Pairing::Connection,
     };
     let call = upstream.call(address, head, Sending::Whole(body.unwrap_or_default()), terms);
     let answer = tokio::time::timeout(Duration::from_millis(wait_ms), call)
@@ -485,41 +635,4 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-
-    #[actix_rt::test]
-    async fn once_a_peer_forgot_a_rested_connection_none_that_rested_half_as_long_is_used() {
-        let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
-            .await
-            .expect("a port");
-        let address = listener.local_addr().expect("an address").to_string();
-        let upstream = Upstream::new();
-        let rest = |upstream: &Upstream, io, s: u64| {
-            let line = Line {
-                io,
-                buf: BytesMut::new(),
-                codec: ClientCodec::new(ServiceConfig::default()),
-            };
-            upstream.keep(&address, line, 100_000);
-            if let Some(idle) = upstream
-                .idle
-                .borrow_mut()
-                .get_mut(&address)
-                .and_then(|l| l.last_mut())
-            {
-                idle.since = Instant::now() - Duration::from_secs(s);
-            }
-        };
-        let mut used = Vec::new();
-        for (rested, forgot) in [(30, false), (30, true), (5, true)] {
-            let io = TcpStream::connect(&address).await.expect("connects");
-            rest(&upstream, io, rested);
-            if forgot {
-                upstream.forgotten(Duration::from_secs(40));
-            }
-            used.push(upstream.take_idle(&address, 60_000).is_some());
-        }
-        assert_eq!(used, [true, false, true]);
-    }
-}
+mod tests;
--- a/crates/usher/src/attempt.rs
+++ b/crates/usher/src/attempt.rs
@@ -37,7 +37,8 @@
     pub echo: Echo,
     /// It says that the worker did not run the request.
     pub not_executed: bool,
-    /// It has the stamp that a worker's success bears.
+    /// It has what a worker's success bears: the stamp, and a body of which one
+    /// can tell where it ends.
     pub sealed: bool,
 }
 
@@ -194,13 +195,20 @@
         if self.phase == Phase::Unsent {
             return Outcome::NotRun;
         }
-        let head = match &self.head {
-            Some(head) if self.phase == Phase::Ended => head,
-            _ => return Outcome::MayHaveRun,
-        };
+        let said = self.head.as_ref().map(|head| self.says(head));
+        match (self.phase, said) {
+            (Phase::Ended, Some(said)) => said,
+            // A long answer is passed on as it comes; what cuts it shows.
+            (Phase::Begun, Some(Outcome::Answered)) if !self.over => Outcome::Answered,
+            _ => Outcome::MayHaveRun,
+        }
+    }
+
+    /// What an answer proves, once it is whole.
+    fn says(&self, head: &Head) -> Outcome {
         let proven = self.is_attributable(head);
         // What is wrong with the request itself is the client's to hear.
-        let elsewhere = head.turns_away() && head.status >= 421;
+        let elsewhere = head.turns_away() && (head.status == 421 || head.status >= 429);
         match () {
             () if elsewhere && proven => Outcome::NotRun,
             () if elsewhere => Outcome::TurnedAway,
--- a/crates/usher/src/seats.rs
+++ b/crates/usher/src/seats.rs
@@ -1,7 +1,7 @@
 use crate::budget::Budget;
 use crate::pool::{Place, Pool};
 use crate::trial::{Ledger, Ticket, Trials};
-use playbill::config::{cold_bound, Route, RouteKind};
+use playbill::config::{cold_bound, Route};
 use playbill::constants as c;
 use playbill::letters::{short, Worker};
 use playbill::settings::Bounds;
@@ -715,11 +715,6 @@
             })
             .collect()
     }
-
-    /// Whether a request may be sent once more after its try came to this.
-    pub fn may_repeat(kind: RouteKind, run: bool) -> bool {
-        kind == RouteKind::Idempotent || !run
-    }
 }
 
 #[cfg(test)]
