status tells how the core stands; a line when contact is lost and found

Cause: an operator could not see who has a majority, how many losses are borne, what is under way. The unit test of the command line's status moved to a test file, its assertions unchanged.

--- a/crates/playhouse/src/cli/status.rs
+++ b/crates/playhouse/src/cli/status.rs
@@ -31,6 +31,55 @@
     }
 }
 
+/// How the core stands, in the words of the operators' page.
+fn core(c: &Value) -> String {
+    if c.is_null() {
+        return String::new();
+    }
+    let yes = |name: &str| c[name] == Value::Bool(true);
+    let mut out = if !yes("in_contact") {
+        format!(
+            "THIS NODE IS OUT OF CONTACT: no word of a majority for {} ms; what follows may be old\n",
+            word(&c["silent_ms"])
+        )
+    } else if yes("leads") {
+        format!("this node leads, for {} ms\n", word(&c["led_for_ms"]))
+    } else {
+        format!("this node follows; last word {} ms ago\n", word(&c["silent_ms"]))
+    };
+    out += &format!("voters {}, majority {}", word(&c["voters"]), word(&c["majority"]));
+    if yes("leads") {
+        let further = c["further_losses"].as_i64().unwrap_or(0);
+        out += &format!(
+            "; live {}, caught up {}, learning {}; bears {further} further loss{}{}",
+            word(&c["live"]),
+            word(&c["caught_up"]),
+            word(&c["learning"]),
+            if further == 1 { "" } else { "es" },
+            if yes("bears_tolerance") {
+                ""
+            } else {
+                ", less than Tolerance"
+            },
+        );
+    }
+    if yes("roll_change_under_way") {
+        out += "; a change of the voters is under way";
+    }
+    if yes("disk_in_trouble") {
+        out += "; DISK IN TROUBLE";
+    }
+    out += &format!(
+        "\nsnapshot at {} ({} bytes), {} entries since; orders remembered: {} configurations, {} others\n\n",
+        word(&c["snapshot_index"]),
+        word(&c["snapshot_bytes"]),
+        word(&c["log_entries"]),
+        word(&c["orders"]["configurations"]),
+        word(&c["orders"]["others"]),
+    );
+    out
+}
+
 fn show(v: &Value) -> String {
     let mut out = format!(
         "leader {}  term {}  lease {}  commit {}  version {}  workers {}  evacuated {}\n\nmembers\n",
@@ -42,6 +91,7 @@
         word(&v["workers"]),
         word(&v["evacuated"]),
     );
+    out = core(&v["core"]) + &out;
     for m in rows(v, "members") {
         let flags: Vec<&str> = ["alive", "ready", "disk", "votes"]
             .into_iter()
@@ -87,16 +137,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    #[test]
-    fn shows_what_there_is_and_bears_what_is_missing() {
-        let v = serde_json::json!({"leader": true, "term": 3,
-            "members": [{"name": "n1", "alive": true, "votes": true, "ready": false}],
-            "holdings": [{"service": "s", "from": 0, "to": 9, "worker": "w", "fence": 4, "leaving": true}]});
-        let text = super::show(&v);
-        assert!(
-            text.contains("term 3") && text.contains("alive votes") && text.contains("fence 4  leaving"),
-            "{text}"
-        );
-    }
-}
+#[path = "status_tests.rs"]
+mod tests;
--- a/crates/playhouse/src/conductor/mod.rs
+++ b/crates/playhouse/src/conductor/mod.rs
@@ -3,6 +3,7 @@
 
 mod orders;
 mod rollouts;
+mod status;
 mod tending;
 
 pub use orders::{Behind, Take};
@@ -113,6 +114,7 @@
         asked_peers: 0,
         mended: false,
         in_trouble: false,
+        in_contact: true,
         role: Role::Follower,
         following: Following::default(),
         introduced: HashMap::new(),
@@ -192,6 +194,8 @@
     asked_peers: u64,
     mended: bool,
     in_trouble: bool,
+    /// Whether the core was heard of lately, as the log was last told.
+    in_contact: bool,
     role: Role,
     /// Which voter this node follows, if it has no disk.
     following: Following,
--- a/crates/playhouse/src/conductor/orders.rs
+++ b/crates/playhouse/src/conductor/orders.rs
@@ -137,48 +137,6 @@
             .filter(|p| now.saturating_sub(p.heard_at) < c::CONTACT_MS && p.applied < index)
             .count()
     }
-
-    pub(super) fn status(&self) -> Vec<u8> {
-        let now = self.house.now();
-        let members: Vec<serde_json::Value> = self
-            .house
-            .members
-            .get()
-            .iter()
-            .map(|m| {
-                serde_json::json!({
-                    "name": m.name, "address": m.address, "zone": m.zone, "region": m.region,
-                    "alive": m.is_alive(), "ready": m.ready, "disk": m.disk,
-                    "votes": self.prompter.roll().has(m.id),
-                    "applied": if m.id == self.prompter.id() { Some(self.stage.index) } else { self.prompter.progress(m.id).map(|p| p.applied) },
-                    "silent_ms": self.prompter.progress(m.id).map(|p| now.saturating_sub(p.heard_at)),
-                })
-            })
-            .collect();
-        let holdings: Vec<serde_json::Value> = self
-            .stage
-            .holdings
-            .values()
-            .flat_map(|t| t.values())
-            .map(|h| serde_json::json!({"service": h.service, "from": h.from, "to": h.to, "worker": h.worker, "fence": h.fence, "leaving": h.leaving}))
-            .collect();
-        let fractions: Vec<serde_json::Value> = self
-            .stage
-            .fractions
-            .iter()
-            .map(|f| serde_json::json!({"service": f.service, "group": f.group, "site": f.site, "part": f.part}))
-            .collect();
-        let value = serde_json::json!({
-            "leader": self.prompter.is_leader(), "leader_id": self.prompter.leader(),
-            "silent_ms": self.silent_ms(), "in_contact": self.silent_ms() < c::OUT_OF_CONTACT_MS,
-            "lease": self.prompter.holds_lease(now),
-            "term": self.prompter.term(), "commit": self.prompter.commit(), "index": self.stage.index,
-            "version": self.stage.version(), "evacuated": self.stage.evacuated,
-            "workers": self.stage.workers.len(), "members": members, "holdings": holdings,
-            "fractions": fractions, "counters": self.house.counters.all(),
-        });
-        value.to_string().into_bytes()
-    }
 }
 
 pub(super) fn answer(status: u32, body: impl Into<Vec<u8>>) -> ControlAnswer {
--- a/crates/playhouse/src/conductor/tending.rs
+++ b/crates/playhouse/src/conductor/tending.rs
@@ -13,6 +13,7 @@
 impl Conductor {
     pub(super) fn look_around(&mut self) {
         let now = self.house.now();
+        self.tell_contact();
         self.begin_system();
         self.choose_source(now);
         if self.prompter.is_leader() {
@@ -24,6 +25,23 @@
         self.flush();
     }
 
+    /// A line when the core falls silent, and one when it is heard again.
+    fn tell_contact(&mut self) {
+        let silent = self.silent_ms();
+        let in_contact = silent < c::OUT_OF_CONTACT_MS || self.prompter.roll().voters.is_empty();
+        if in_contact != self.in_contact {
+            self.in_contact = in_contact;
+            if in_contact {
+                log::info!("event=in_contact term={}", self.prompter.term());
+            } else {
+                log::warn!(
+                    "event=out_of_contact silent_ms={silent} term={}",
+                    self.prompter.term()
+                );
+            }
+        }
+    }
+
     /// Genesis. The first seed in the list chooses who begins: itself if it
     /// has a disk, else the disk machine with the lowest name that it knows.
     /// The one chosen begins only if its own disk was empty at the first start
