An order repeats another only if that is still the newest where it is applied

Change: the ledger checks the repeat where the entry is applied. An order to take an evacuation back is cautious: in doubt it is a repeat.

Ruled out: holding orders on one zone apart at the leader (another leader's entries may come between all the same).

--- a/crates/playbill/src/ledger.rs
+++ b/crates/playbill/src/ledger.rs
@@ -128,12 +128,11 @@
 
     /// What is known of an order with a tag, and the index at which it was judged.
     pub fn order(&self, tag: &OrderTag) -> (Known, u64) {
+        // The leader named it by what it had applied; other orders may have come between.
+        let repeats = (tag.again != 0).then(|| self.alike(tag)).flatten();
         let is_this = |o: &&JudgedOrder| {
-            let same = |t: &OrderTag| {
-                let sent_again = tag.again == o.index && t.digest == tag.digest && t.subject == tag.subject;
-                (t.life, t.number) == (tag.life, tag.number) || tag.again != 0 && sent_again
-            };
-            o.tag.as_ref().is_some_and(same)
+            let same = |t: &OrderTag| (t.life, t.number) == (tag.life, tag.number);
+            o.tag.as_ref().is_some_and(same) || tag.again == o.index && repeats == Some(o.index)
         };
         match self.orders.iter().find(is_this) {
             Some(o) if o.taken => (Known::Taken, o.index),
@@ -158,12 +157,16 @@
         }
     }
 
-    /// The newest order on a subject, if it was taken and is the same as this one.
-    pub fn newest_alike(&self, tag: &OrderTag) -> Option<u64> {
-        let on_it = |o: &&JudgedOrder| o.tag.as_ref().is_some_and(|t| t.subject == tag.subject);
+    /// The index of an order that this one may repeat: the newest on the subject, or for a
+    /// cautious one the newest that is the same, if it is the same and was taken.
+    pub fn alike(&self, tag: &OrderTag) -> Option<u64> {
+        let same = |o: &JudgedOrder| o.tag.as_ref().is_some_and(|t| t.digest == tag.digest);
+        let on_it = |o: &&JudgedOrder| {
+            let subject = o.tag.as_ref().is_some_and(|t| t.subject == tag.subject);
+            subject && (same(o) || !tag.cautious)
+        };
         let newest = self.orders.iter().rev().find(on_it)?;
-        let alike = newest.tag.as_ref().is_some_and(|t| t.digest == tag.digest);
-        (newest.taken && alike).then_some(newest.index)
+        (newest.taken && same(newest)).then_some(newest.index)
     }
 
     /// The indexes of the orders with a tag that are remembered, ascending.
--- a/crates/playbill/src/letters.rs
+++ b/crates/playbill/src/letters.rs
@@ -372,6 +372,10 @@
     /// The index of the order that the leader takes this one to repeat; 0 for none.
     #[prost(uint64, tag = "6")]
     pub again: u64,
+    /// To be carried out once too often is worse than once too few: it may repeat an
+    /// order although another on the subject has come between.
+    #[prost(bool, tag = "7")]
+    pub cautious: bool,
 }
 
 /// What the control state remembers of orders that were judged.
--- a/crates/playbill/tests/ledger.rs
+++ b/crates/playbill/tests/ledger.rs
@@ -191,6 +191,7 @@
         subject: 1,
         digest: 2 + u64::from(begin),
         again: 0,
+        cautious: false,
     }
 }
 
@@ -211,17 +212,13 @@
     // Another operator's, and the first one sent again, as the leader takes them.
     assert_eq!(send(&mut stage, &tag(2, 2, true), true), Outcome::Applied);
     let again = OrderTag {
-        again: stage.ledger.newest_alike(&tag(3, 3, true)).expect("alike"),
+        again: stage.ledger.alike(&tag(3, 3, true)).expect("alike"),
         ..tag(3, 3, true)
     };
     assert_eq!(send(&mut stage, &again, true), Outcome::Already);
     assert_eq!(stage.evacuated["z"], 2);
     assert_eq!(send(&mut stage, &tag(4, 4, false), false), Outcome::Applied);
-    assert_eq!(
-        stage.ledger.newest_alike(&tag(5, 4, true)),
-        None,
-        "another came between"
-    );
+    assert_eq!(stage.ledger.alike(&tag(5, 4, true)), None, "another came between");
     // Longer ago than is remembered: not carried out, nothing promised.
     for n in 10..10 + 2 * c::ORDERS_KEPT as u64 {
         send(&mut stage, &tag(n, n, n % 2 == 0), n % 2 == 0);
@@ -231,3 +228,43 @@
     assert_eq!(stage.evacuated, before);
     assert_eq!(stage.ledger.sizes().2, c::ORDERS_KEPT);
 }
+
+/// The leader takes an order for a repeat by what it has applied, while another order on
+/// the zone already stands behind that in its log.
+#[test]
+fn a_repeat_is_one_only_while_nothing_has_come_between() {
+    let send = |stage: &mut Stage, tag: OrderTag, begin: bool| {
+        stage.apply(stage.index + 1, &encode_order(evacuation(begin), Some(tag)))
+    };
+    let mut stage = Stage::default();
+    assert_eq!(send(&mut stage, tag(1, 0, true), true), Outcome::Applied);
+    let again = OrderTag {
+        again: stage.ledger.alike(&tag(3, 1, true)).expect("alike"),
+        ..tag(3, 1, true)
+    };
+    assert_eq!(send(&mut stage, tag(2, 1, false), false), Outcome::Applied);
+    assert_eq!(
+        send(&mut stage, again, true),
+        Outcome::Applied,
+        "confirmed, so in force"
+    );
+    assert_eq!(stage.evacuated.get("z"), Some(&1));
+    // In doubt a zone stays empty: a finish that came a moment ago is a repeat, also
+    // where a begin has come between.
+    let finish = OrderTag {
+        cautious: true,
+        ..tag(4, 3, false)
+    };
+    assert_eq!(send(&mut stage, finish, false), Outcome::Applied);
+    assert_eq!(send(&mut stage, tag(5, 4, true), true), Outcome::Applied);
+    let finish = OrderTag {
+        cautious: true,
+        ..tag(6, 5, false)
+    };
+    let again = stage.ledger.alike(&finish).expect("alike");
+    assert_eq!(
+        send(&mut stage, OrderTag { again, ..finish }, false),
+        Outcome::Already
+    );
+    assert_eq!(stage.evacuated.get("z"), Some(&1));
+}
--- a/crates/playhouse/src/conductor/orders.rs
+++ b/crates/playhouse/src/conductor/orders.rs
@@ -63,7 +63,7 @@
     /// What is byte for byte alike cannot be told apart any better; the log has the
     /// last word, and holds it for all leaders.
     fn resent(&self, tag: &OrderTag) -> Option<u64> {
-        let index = self.stage.ledger.newest_alike(tag)?;
+        let index = self.stage.ledger.alike(tag)?;
         let seen = self.orders_seen.get(&index)?;
         (self.house.now().saturating_sub(*seen) < c::SAME_ORDER_MS).then_some(index)
     }
@@ -371,6 +371,8 @@
     /// caller would move on.
     fn handle(&mut self, Take(order): Take, ctx: &mut Self::Context) -> Self::Result {
         let me = ctx.address();
+        // A zone evacuated for too long costs work; one taken back too soon breaks a promise.
+        let cautious = matches!(&order, Order::Evacuate(e) if !e.begin);
         let tag = order.digests().map(|(subject, digest)| {
             self.last_order += 1;
             OrderTag {
@@ -380,6 +382,7 @@
                 subject,
                 digest,
                 again: 0,
+                cautious,
             }
         });
         let house = self.house.clone();
