An ack counts only for the life that probed and from a node that was asked

Cause: probes are numbered from 0 in each life and an ack was matched by its number alone. A late ack to a probe of the life before, or one of any other node, ended a new probe: a dead node passed for alive for one more round; the same for probes made for others.

Change: each life counts from a random 32-bit number; an ack must come from the node that was probed or from one that was asked to probe it; others are counted (`unknown_acks`).

Ruled out: a life of 64 bits in each datagram: eight bytes a probe between regions for a doubt of one probe; with 32 bits and at most four probes under way a late ack meets one with a chance below one in 500 million.

--- a/crates/callboard/src/board.rs
+++ b/crates/callboard/src/board.rs
@@ -37,6 +37,17 @@
     seq: u64,
     at: u64,
     asked_others: bool,
+    /// Those that were asked to probe it as well.
+    helpers: Vec<String>,
+}
+
+/// A probe made for another node.
+struct ForOther {
+    to: String,
+    /// The number that the other knows it by.
+    seq: u64,
+    target: String,
+    at: u64,
 }
 
 /// Who is there, as one node sees it.
@@ -49,9 +60,12 @@
     order: Vec<String>,
     /// Probes under way, at most [`PROBES`].
     probing: Vec<Probing>,
-    /// Probes made for others: our number, and whom to tell under which number.
-    for_others: BTreeMap<u64, (String, u64, u64)>,
+    /// Probes made for others, by our number.
+    for_others: BTreeMap<u64, ForOther>,
+    /// The number of the newest probe. Each life counts from a number drawn at
+    /// random, so that an ack to the life before is none to this one.
     seq: u64,
+    unknown_acks: u64,
     next_probe: u64,
     next_join: u64,
     my_tell: u32,
@@ -66,16 +80,19 @@
 
 impl Board {
     pub fn new(me: Member, seeds: Vec<String>, timing: Timing, now: u64, seed: u64) -> Board {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let seq = u64::from(rng.gen::<u32>());
         Board {
             seeds: seeds.into_iter().filter(|s| *s != me.address).collect(),
             me,
             timing,
-            rng: SmallRng::seed_from_u64(seed),
+            rng,
             others: BTreeMap::new(),
             order: Vec::new(),
             probing: Vec::new(),
             for_others: BTreeMap::new(),
-            seq: 0,
+            seq,
+            unknown_acks: 0,
             next_probe: now,
             next_join: now,
             my_tell: timing.gossip_times,
@@ -173,6 +190,11 @@
         self.rtt.get(address).copied()
     }
 
+    /// Acks that belonged to no probe under way, of this life and of that node.
+    pub fn unknown_acks(&self) -> u64 {
+        self.unknown_acks
+    }
+
     /// Whether anything was learned since the last [`Board::take_changed`].
     pub fn has_changed(&self) -> bool {
         self.changed
@@ -261,6 +283,7 @@
                     seq: self.seq,
                     at: now,
                     asked_others: false,
+                    helpers: Vec::new(),
                 });
                 self.send(target, NoticeKind::Probe, self.seq, String::new());
                 return;
@@ -303,6 +326,9 @@
                 .choose_multiple(&mut self.rng, self.timing.helpers)
                 .cloned()
                 .collect();
+            if let Some(p) = self.probing.iter_mut().find(|p| p.seq == seq) {
+                p.helpers.clone_from(&chosen);
+            }
             for helper in chosen {
                 self.send(helper, NoticeKind::ProbeFor, seq, target.clone());
             }
@@ -326,7 +352,7 @@
         self.others
             .retain(|_, e| e.member.standing() != Standing::Dead || now.saturating_sub(e.since) < forget);
         self.for_others
-            .retain(|_, (_, _, at)| now.saturating_sub(*at) < 2000);
+            .retain(|_, probe| now.saturating_sub(probe.at) < 2000);
     }
 
     pub fn receive(&mut self, now: u64, from: &str, notice: Notice) {
@@ -350,22 +376,18 @@
             NoticeKind::Probe => self.send(from.to_string(), NoticeKind::Ack, notice.seq, String::new()),
             NoticeKind::Ack => {
                 self.compare(now, from, notice.digest);
-                if let Some((to, seq, _)) = self.for_others.remove(&notice.seq) {
-                    self.send(to, NoticeKind::Ack, seq, String::new());
-                }
-                if let Some(at) = self.probing.iter().position(|p| p.seq == notice.seq) {
-                    let p = self.probing.swap_remove(at);
-                    if !p.asked_others && p.target == from {
-                        let ms = now.saturating_sub(p.at) as f64;
-                        let rtt = self.rtt.entry(p.target).or_insert(ms);
-                        *rtt = *rtt * 0.7 + ms * 0.3;
-                    }
-                }
+                self.acked(now, from, notice.seq);
             }
             NoticeKind::ProbeFor => {
                 self.seq += 1;
                 let seq = self.seq;
-                self.for_others.insert(seq, (from.to_string(), notice.seq, now));
+                let probe = ForOther {
+                    to: from.to_string(),
+                    seq: notice.seq,
+                    target: notice.target.clone(),
+                    at: now,
+                };
+                self.for_others.insert(seq, probe);
                 self.send(notice.target, NoticeKind::Probe, seq, String::new());
             }
             NoticeKind::Join => self.tell_missing(from, &notice.known, true),
@@ -381,6 +403,28 @@
         }
     }
 
+    /// An ack has come: it ends the probe of this number if it comes from the node
+    /// that was probed, or from one that was asked to probe it as well.
+    fn acked(&mut self, now: u64, from: &str, seq: u64) {
+        if self.for_others.get(&seq).is_some_and(|p| p.target == from) {
+            if let Some(p) = self.for_others.remove(&seq) {
+                self.send(p.to, NoticeKind::Ack, p.seq, String::new());
+            }
+            return;
+        }
+        let asked = |p: &Probing| p.target == from || p.helpers.iter().any(|h| h == from);
+        let Some(at) = self.probing.iter().position(|p| p.seq == seq && asked(p)) else {
+            self.unknown_acks += 1;
+            return;
+        };
+        let p = self.probing.swap_remove(at);
+        if !p.asked_others {
+            let ms = now.saturating_sub(p.at) as f64;
+            let rtt = self.rtt.entry(p.target).or_insert(ms);
+            *rtt = *rtt * 0.7 + ms * 0.3;
+        }
+    }
+
     /// Tells a node of this one.
     fn introduce(&mut self, to: &str) {
         let me = self.me.clone();
--- a/crates/callboard/src/tests.rs
+++ b/crates/callboard/src/tests.rs
@@ -214,3 +214,94 @@
     net.run(6000);
     assert!(knows(&net, NODES * 2 / 3), "the loss is known");
 }
+
+/// A board that knows some others, and its first probe: of whom, its number.
+fn probing(seed: u64, others: &[&str]) -> (Board, String, u64) {
+    let me = Member {
+        address: "me".into(),
+        id: 1,
+        incarnation: 1,
+        ..Default::default()
+    };
+    let mut board = Board::new(me, vec![], TIMING, 0, seed);
+    let members = others.iter().map(|address| Member {
+        address: address.to_string(),
+        id: 2,
+        incarnation: 1,
+        ..Default::default()
+    });
+    let news = Notice {
+        kind: NoticeKind::News as i32,
+        members: members.collect(),
+        ..Default::default()
+    };
+    board.receive(0, others[0], news);
+    for now in 1..=2 * TIMING.probe_every {
+        board.tick(now);
+        for (to, notice) in board.take_out() {
+            if notice.kind == NoticeKind::Probe as i32 {
+                return (board, to, notice.seq);
+            }
+        }
+    }
+    panic!("nobody was probed");
+}
+
+fn ack(seq: u64) -> Notice {
+    Notice {
+        kind: NoticeKind::Ack as i32,
+        seq,
+        ..Default::default()
+    }
+}
+
+/// Whether a probed node is taken for alive once its time is over.
+fn passes(mut board: Board, target: &str) -> bool {
+    for now in 400..400 + 2 * TIMING.probe_every {
+        board.tick(now);
+        board.take_out();
+    }
+    board.get(target).is_some_and(Member::is_alive)
+}
+
+#[test]
+fn an_ack_counts_only_for_the_life_that_probed_and_from_the_node_that_was_probed() {
+    let (_, before, late) = probing(1, &["x"]);
+    assert_eq!(before, "x");
+    // The node starts anew; the ack to its life before comes now.
+    let (mut board, target, seq) = probing(2, &["y"]);
+    board.receive(10, "x", ack(late));
+    board.receive(10, "y", ack(late));
+    assert!(!passes(board, &target), "an ack to the life before");
+    // An ack with the right number from somebody else.
+    let (mut board, target, _) = probing(2, &["y"]);
+    board.receive(10, "x", ack(seq));
+    assert_eq!(board.unknown_acks(), 1);
+    assert!(!passes(board, &target), "an ack of another node");
+    let (mut board, target, seq) = probing(2, &["y"]);
+    board.receive(10, "y", ack(seq));
+    assert_eq!(board.unknown_acks(), 0);
+    assert!(passes(board, &target));
+}
+
+#[test]
+fn an_ack_for_another_node_comes_from_the_one_it_was_asked_for() {
+    let (mut board, ..) = probing(1, &["x", "y"]);
+    let ask = Notice {
+        kind: NoticeKind::ProbeFor as i32,
+        seq: 77,
+        target: "y".into(),
+        ..Default::default()
+    };
+    board.receive(10, "x", ask);
+    let out = board.take_out();
+    let probe = out
+        .iter()
+        .find(|(to, n)| to == "y" && n.kind == NoticeKind::Probe as i32);
+    let seq = probe.map(|(_, n)| n.seq).expect("a probe for another");
+    let relayed = |board: &mut Board| board.take_out().iter().any(|(to, n)| to == "x" && n.seq == 77);
+    board.receive(20, "z", ack(seq));
+    assert!(!relayed(&mut board), "nobody asked z");
+    board.receive(20, "y", ack(seq));
+    assert!(relayed(&mut board));
+}
--- a/crates/playhouse/src/lobby.rs
+++ b/crates/playhouse/src/lobby.rs
@@ -177,8 +177,12 @@
 impl Handler<Heard> for Lobby {
     type Result = ();
     fn handle(&mut self, msg: Heard, _: &mut Self::Context) {
+        let before = self.board.unknown_acks();
         self.board
             .receive(self.house.now(), &msg.from.to_string(), msg.notice);
+        if self.board.unknown_acks() != before {
+            self.house.counters.add("unknown_acks");
+        }
         self.flush();
     }
 }
