A grant's or release's answer is for that call alone, not for a later duty's

Cause: answers of workers were paired by service, first key and fence. A leader that lost its duty and found it again within the wait for an answer took late answers for its new calls: a grant of unclear end set the end of the hold to 0, so the keys went to another worker at once; a late release freed keys that had been granted again; a late "yes" shortened the wait for what another leader had sent. On pooled connections, which workers' grant answers do not name, the double of one answer was taken for the next.

Change: each call has a number of this life; an answer to any other than the one under way changes nothing and is counted. The end of a hold is what finished calls prove, together with the latest that calls under way may bring. A release goes out on a connection of its own; grants and releases name the worker they mean (`Expected-Instance`), since its address may be another's.

Existing tests: wardrobe/src/tests.rs, rehearsal's world, model and capacity example hand back the call in place of its holding; the test of the outrun grant answers a call that was made (before: one never made, which is now ignored). No assertion was changed.

--- a/crates/playhouse/src/answers_tests.rs
+++ b/crates/playhouse/src/answers_tests.rs
@@ -2,6 +2,7 @@
 //! interim, nameless, late or cut, on fresh and on used connections.
 
 use crate::forwarding_tests::{front, get, house, post, raw, status, CONFIG};
+use crate::upstream::{simple, Simple, Upstream};
 use playbill::letters::{ChangeKind, ReplaceOrder};
 use playbill::stage::encode_change;
 use socket2::SockRef;
@@ -370,3 +371,41 @@
         }
     }
 }
+
+#[actix_rt::test]
+async fn a_release_is_believed_only_on_a_connection_of_its_own_and_names_its_worker() {
+    let heads = Rc::new(RefCell::new(Vec::new()));
+    let noted = heads.clone();
+    let (seen, address) = worker(move |_, number, head| {
+        noted.borrow_mut().push(head.to_string());
+        let yes = with_id("200 OK", "", "", "");
+        match (head.starts_with("post /release"), number) {
+            (true, 0) => say(with_id("503 No", "", "", "")),
+            // The double of the grant's answer stands where the release's is due.
+            _ => say(yes),
+        }
+    })
+    .await;
+    let upstream = Upstream::new();
+    let mut told = Vec::new();
+    for (path, fresh) in [("/grant", false), ("/release", false), ("/release", true)] {
+        let call = Simple {
+            method: actix_http::Method::POST,
+            address: &address,
+            path,
+            worker: Some("i-1"),
+            body: Some("{}".into()),
+            wait_ms: 5000,
+            fresh,
+        };
+        let (status, _, _) = simple(&upstream, call).await.expect("an answer");
+        told.push(status.as_u16());
+    }
+    assert_eq!(told, [200, 200, 503], "used again, it tells a lie");
+    let connections: Vec<usize> = seen.borrow().iter().map(|(at, _)| *at).collect();
+    assert_eq!(connections, [0, 0, 1]);
+    assert!(heads
+        .borrow()
+        .iter()
+        .all(|h| h.contains("expected-instance: i-1")));
+}
--- a/crates/playhouse/src/keys.rs
+++ b/crates/playhouse/src/keys.rs
@@ -2,7 +2,7 @@
 
 use crate::conductor::{Conductor, Lease, Propose};
 use crate::kernel::{House, Plugin};
-use crate::upstream::{simple, Fault, Upstream};
+use crate::upstream::{simple, Fault, Simple, Upstream};
 use actix::prelude::*;
 use bytes::Bytes;
 use playbill::constants as c;
@@ -44,6 +44,8 @@
     }
 }
 
+const RELEASE: &str = "/release";
+
 /// A worker's answer, read whole.
 type Answered = Result<(actix_http::StatusCode, actix_http::header::HeaderMap, Bytes), Fault>;
 
@@ -81,28 +83,16 @@
                 me.since = Some(since);
                 me.wardrobe.begin(now, &stage);
             }
-            let ends: Vec<(u64, u64)> = stage
-                .holdings
-                .values()
-                .flat_map(|t| t.values())
-                .map(|h| (h.fence, me.wardrobe.hold_end(h.fence)))
-                .collect();
             for act in me.wardrobe.tick(now, &stage) {
-                me.act(act, &ends, ctx);
+                me.act(act, ctx);
             }
         }));
     }
 
-    fn act(&mut self, act: Act, ends: &[(u64, u64)], ctx: &mut Context<Self>) {
+    fn act(&mut self, act: Act, ctx: &mut Context<Self>) {
         match act {
             Act::Log(put) => self.log(put, ctx),
-            Act::Grant(call) => {
-                let end = ends
-                    .iter()
-                    .find(|(f, _)| *f == call.holding.fence)
-                    .map_or(0, |(_, e)| *e);
-                self.grant(call, end, ctx);
-            }
+            Act::Grant(call) => self.grant(call, ctx),
             Act::Release(call) => self.release(call, ctx),
         }
     }
@@ -134,10 +124,13 @@
         );
     }
 
-    /// A call to a worker with a JSON body.
+    /// A call to a worker with a JSON body. A release must be heard from that
+    /// worker alone, since the keys go to another on its word: a doubled answer
+    /// on a connection used again would be taken for it.
     fn ask(
         &self,
         address: String,
+        worker: String,
         path: &'static str,
         body: serde_json::Value,
         wait_ms: u64,
@@ -145,29 +138,31 @@
         let upstream = self.upstream.clone();
         let body = Bytes::from(body.to_string());
         async move {
-            simple(
-                &upstream,
-                actix_http::Method::POST,
-                &address,
+            let call = Simple {
+                method: actix_http::Method::POST,
+                address: &address,
                 path,
-                Some(body),
+                worker: Some(&worker),
+                body: Some(body),
                 wait_ms,
-            )
-            .await
+                fresh: path == RELEASE,
+            };
+            simple(&upstream, call).await
         }
     }
 
-    fn grant(&self, call: GrantCall, end_before: u64, ctx: &mut Context<Self>) {
-        let h = call.holding;
+    fn grant(&self, call: GrantCall, ctx: &mut Context<Self>) {
+        let h = &call.holding;
         let mut body = serde_json::json!({
             "Source": h.from, "TargetVersion": h.to, "fence": h.fence, "Hold": format!("{}ms", call.hold_ms),
         });
         if !h.handover.is_empty() {
             body["Handover"] = h.handover.clone().into();
         }
-        let work = self.ask(call.address, "/grant", body, c::GRANT_WAIT_MS);
+        let (address, worker) = (call.address.clone(), h.worker.clone());
+        let work = self.ask(address, worker, "/grant", body, c::GRANT_WAIT_MS);
         ctx.spawn(work.into_actor(self).map(move |result, me, _| {
-            let now = me.house.now();
+            let (now, h) = (me.house.now(), &call.holding);
             let granted = match result {
                 Ok((status, _, _)) if status.is_success() => Granted::Yes,
                 Ok((status, _, body)) if status == 409 => {
@@ -182,21 +177,27 @@
                 Ok(_) | Err(Fault::Unclear) => Granted::Unclear,
                 Err(Fault::NotSent) => Granted::NotSent,
             };
-            if granted == Granted::NotSent {
-                me.wardrobe.not_sent(now, &h, end_before);
-            } else {
-                me.wardrobe.granted(now, &h, granted);
-            }
+            let unknown = me.wardrobe.unknown_answers();
+            me.wardrobe.granted(now, &call, granted);
+            me.count_unknown(unknown);
             if granted != Granted::Yes {
                 me.house.counters.add("grants_failed");
             }
         }));
     }
 
+    /// Counts an answer that came to nobody.
+    fn count_unknown(&self, before: u64) {
+        if self.wardrobe.unknown_answers() != before {
+            self.house.counters.add("unknown_key_answers");
+        }
+    }
+
     fn release(&self, call: ReleaseCall, ctx: &mut Context<Self>) {
-        let h = call.holding;
+        let h = &call.holding;
         let body = serde_json::json!({ "Source": h.from, "TargetVersion": h.to, "fence": h.fence });
-        let work = self.ask(call.address, "/release", body, c::RELEASE_WAIT_MS);
+        let (address, worker) = (call.address.clone(), h.worker.clone());
+        let work = self.ask(address, worker, RELEASE, body, c::RELEASE_WAIT_MS);
         ctx.spawn(work.into_actor(self).map(move |result, me, ctx| {
             let released = match result {
                 Ok((status, headers, _)) if status.is_success() => {
@@ -210,13 +211,15 @@
                     me.house.counters.add("releases_failed");
                     log::info!(
                         "event=release_failed worker={} answer={:?}",
-                        h.worker,
+                        call.holding.worker,
                         other.map(|r| r.0)
                     );
                     Released::Failed
                 }
             };
-            me.wardrobe.released(me.house.now(), &h, released);
+            let unknown = me.wardrobe.unknown_answers();
+            me.wardrobe.released(me.house.now(), &call, released);
+            me.count_unknown(unknown);
             me.round(ctx);
         }));
     }
--- a/crates/playhouse/src/platform.rs
+++ b/crates/playhouse/src/platform.rs
@@ -2,7 +2,7 @@
 
 use crate::conductor::{Conductor, Lease, Propose};
 use crate::kernel::{House, Plugin};
-use crate::upstream::{simple, Upstream};
+use crate::upstream::{simple, Simple, Upstream};
 use actix::prelude::*;
 use boxoffice::{is_nothing, Caller, Casting, Scene};
 use playbill::constants as c;
@@ -150,16 +150,16 @@
             };
             *pages += 1;
             self.house.counters.add("platform_calls");
-            let (status, _, body) = simple(
-                &self.upstream,
-                actix_http::Method::GET,
-                &address,
-                &path,
-                None,
-                c::LIST_WAIT_MS,
-            )
-            .await
-            .ok()?;
+            let call = Simple {
+                method: actix_http::Method::GET,
+                address: &address,
+                path: &path,
+                worker: None,
+                body: None,
+                wait_ms: c::LIST_WAIT_MS,
+                fresh: false,
+            };
+            let (status, _, body) = simple(&self.upstream, call).await.ok()?;
             if status != 200 {
                 return None;
             }
--- a/crates/playhouse/src/upstream.rs
+++ b/crates/playhouse/src/upstream.rs
@@ -6,7 +6,7 @@
 use actix_codec::{Decoder, Encoder};
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
-use actix_http::header::{self, HeaderMap, HeaderValue};
+use actix_http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use actix_http::{Method, RequestHead, RequestHeadType, ResponseHead, ServiceConfig, StatusCode};
 use bytes::{Bytes, BytesMut};
 use futures_util::future::{select, Either};
@@ -587,14 +587,32 @@
     }
 }
 
-/// A call with a JSON body, or none, whose answer is read whole.
+/// A call that the connection pairs with its answer.
+pub struct Simple<'a> {
+    pub method: Method,
+    pub address: &'a str,
+    pub path: &'a str,
+    /// The worker that is meant; any other turns the call away.
+    pub worker: Option<&'a str>,
+    /// A JSON body.
+    pub body: Option<Bytes>,
+    pub wait_ms: u64,
+    /// On a connection that nobody has used: its answer is nobody else's.
+    pub fresh: bool,
+}
+
+/// Makes a call whose answer is read whole.
 pub async fn simple(
     upstream: &Rc<Upstream>,
-    method: actix_http::Method,
-    address: &str,
-    path: &str,
-    body: Option<Bytes>,
-    wait_ms: u64,
+    Simple {
+        method,
+        address,
+        path,
+        worker,
+        body,
+        wait_ms,
+        fresh,
+    }: Simple<'_>,
 ) -> Result<(StatusCode, HeaderMap, Bytes), Fault> {
     let mut head = RequestHead::default();
     head.method = method;
@@ -602,12 +620,16 @@
     if let Ok(host) = HeaderValue::from_str(address) {
         head.headers.insert(header::HOST, host);
     }
+    if let Some(worker) = worker.and_then(|w| HeaderValue::from_str(w).ok()) {
+        head.headers
+            .insert(HeaderName::from_static("expected-instance"), worker);
+    }
     if body.is_some() {
         head.headers
             .insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
     }
     let terms = Terms {
-        reuse_ms: c::IDLE_REUSE_ONCE_MS,
+        reuse_ms: if fresh { 0 } else { c::IDLE_REUSE_ONCE_MS },
         connect_ms: c::CONNECT_MS.min(wait_ms),
         silence_ms: c::WORKER_SILENCE_MS + 2 * c::FAR_MS as u64,
         pairing: Pairing::Connection,
--- a/crates/rehearsal/examples/capacity.rs
+++ b/crates/rehearsal/examples/capacity.rs
@@ -394,7 +394,7 @@
                 now += c::KEYS_EVERY_MS;
                 for act in wardrobe.tick(now, &stage) {
                     match act {
-                        Act::Grant(g) => wardrobe.granted(now, &g.holding, Granted::Yes),
+                        Act::Grant(g) => wardrobe.granted(now, &g, Granted::Yes),
                         Act::Log(_) => wardrobe.logged(),
                         Act::Release(_) => {}
                     }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -37,7 +37,7 @@
     Granted {
         leader: String,
         life: u64,
-        holding: Holding,
+        call: GrantCall,
         end: Granted,
     },
     Release {
@@ -48,7 +48,7 @@
     Released {
         leader: String,
         life: u64,
-        holding: Holding,
+        call: ReleaseCall,
         end: Released,
     },
 }
@@ -296,7 +296,7 @@
                         Flight::Granted {
                             leader,
                             life,
-                            holding: call.holding,
+                            call,
                             end,
                         },
                     ));
@@ -304,11 +304,11 @@
                 Flight::Granted {
                     leader,
                     life,
-                    holding,
+                    call,
                     end,
                 } => {
                     if let Some(l) = self.life_of(&leader, life) {
-                        l.wardrobe.granted(now, &holding, end);
+                        l.wardrobe.granted(now, &call, end);
                     }
                 }
                 Flight::Release { leader, life, call } => {
@@ -321,13 +321,12 @@
                         _ => Released::Failed,
                     };
                     let wait = if end == Released::Failed { 1000 } else { 150 };
-                    let holding = call.holding;
                     self.flights.push((
                         now + wait,
                         Flight::Released {
                             leader,
                             life,
-                            holding,
+                            call,
                             end,
                         },
                     ));
@@ -335,11 +334,11 @@
                 Flight::Released {
                     leader,
                     life,
-                    holding,
+                    call,
                     end,
                 } => {
                     if let Some(l) = self.life_of(&leader, life) {
-                        l.wardrobe.released(now, &holding, end);
+                        l.wardrobe.released(now, &call, end);
                     }
                 }
             }
@@ -468,7 +467,7 @@
                             let unclear = Flight::Granted {
                                 leader: name.clone(),
                                 life: life.started,
-                                holding: call.holding.clone(),
+                                call: call.clone(),
                                 end: Granted::Unclear,
                             };
                             flights.push((now + c::GRANT_WAIT_MS, unclear));
--- a/crates/rehearsal/tests/model.rs
+++ b/crates/rehearsal/tests/model.rs
@@ -189,13 +189,13 @@
                 Call::Grant(g) => {
                     let end = worker.grant(now, &g.holding, g.hold_ms);
                     if waits {
-                        leader.granted(now, &g.holding, end);
+                        leader.granted(now, g, end);
                     }
                 }
                 Call::Release(r) => {
                     let end = worker.release(&r.holding);
                     if waits {
-                        leader.released(now, &r.holding, end);
+                        leader.released(now, r, end);
                     }
                 }
             }
@@ -215,8 +215,8 @@
             }
             let leader = &mut self.leaders[f.leader];
             match &f.call {
-                Call::Grant(g) => leader.granted(now, &g.holding, Granted::Unclear),
-                Call::Release(r) => leader.released(now, &r.holding, Released::Failed),
+                Call::Grant(g) => leader.granted(now, g, Granted::Unclear),
+                Call::Release(r) => leader.released(now, r, Released::Failed),
             }
         }
         self.flights
--- a/crates/wardrobe/src/lib.rs
+++ b/crates/wardrobe/src/lib.rs
@@ -18,6 +18,8 @@
 /// A call to a worker that gives it keys, or gives them again.
 #[derive(Clone, Debug, PartialEq)]
 pub struct GrantCall {
+    /// Tells the call from all others of this process.
+    pub number: u64,
     pub address: String,
     pub holding: Holding,
     pub hold_ms: u64,
@@ -26,6 +28,8 @@
 /// A call that takes keys back.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ReleaseCall {
+    /// Tells the call from all others of this process.
+    pub number: u64,
     pub address: String,
     pub holding: Holding,
 }
@@ -59,7 +63,8 @@
 
 #[derive(Clone, Debug, Default)]
 struct Track {
-    busy: bool,
+    /// The number of the call under way: an answer to any other is too late.
+    call: Option<u64>,
     next_at: u64,
     /// When a release that failed is tried again.
     retry_at: u64,
@@ -67,8 +72,10 @@
     outrun: bool,
     /// Grants in a row that were not answered.
     failures: u32,
-    /// The range of the grant under way.
+    /// The range of the grant under way, and when its hold must have ended if it
+    /// arrives as late as it can.
     sent: (u32, u32),
+    bound: u64,
     /// The holder has let go, and handed this over.
     freed: Option<String>,
     /// Its last grant before it lets go was made, so that what runs may end; and
@@ -77,8 +84,8 @@
     extended_end: u64,
 }
 
-/// When the hold under a fence must have ended, and until when a call of
-/// unclear end may still arrive.
+/// When the hold under a fence must have ended, as far as calls that are over
+/// go, and until when one of unclear end may still arrive.
 #[derive(Clone, Copy, Debug, Default)]
 struct Hold {
     end: u64,
@@ -90,6 +97,10 @@
     hold_ms: u64,
     thaw_ms: u64,
     tracks: BTreeMap<(String, u32, u64), Track>,
+    /// Calls made in this life; their numbers are never used again.
+    calls: u64,
+    /// Answers to calls that nobody waits for: of an earlier duty, or a second one.
+    unknown_answers: u64,
     holds: BTreeMap<u64, Hold>,
     /// Holds under fences that an earlier leader granted.
     inherited: Hold,
@@ -117,6 +128,8 @@
             hold_ms: c::HOLD_MS.min(hold_limit_ms),
             thaw_ms,
             tracks: BTreeMap::new(),
+            calls: 0,
+            unknown_answers: 0,
             holds: BTreeMap::new(),
             inherited: Hold::default(),
             inherited_top: 0,
@@ -141,7 +154,8 @@
         now + (hold_ms as f64 * c::HOLD_CLOCK).ceil() as u64 + self.thaw_ms
     }
 
-    /// When the hold of a range has certainly ended, its last grant included.
+    /// When the hold of a range has certainly ended, its last grant included, as
+    /// far as calls that are over go.
     fn range_end(&self, h: &Holding) -> u64 {
         let hold = self.hold(h.fence).end;
         if self.inherited_leaving.contains(&(h.fence, h.from)) {
@@ -158,6 +172,8 @@
         let loads = std::mem::take(&mut self.loads);
         *self = Wardrobe {
             loads,
+            calls: self.calls,
+            unknown_answers: self.unknown_answers,
             inherited: Hold {
                 end: self.end_of(settled),
                 settled,
@@ -205,7 +221,7 @@
             .map(|h| (h.service.as_str(), h.from, h.fence))
             .collect();
         self.tracks
-            .retain(|(s, from, fence), t| t.busy || held.contains(&(s.as_str(), *from, *fence)));
+            .retain(|(s, from, fence), t| t.call.is_some() || held.contains(&(s.as_str(), *from, *fence)));
         let fences: HashSet<u64> = holdings.iter().map(|h| h.fence).collect();
         self.holds.retain(|fence, _| fences.contains(fence));
         // A grant under way covers what its range was when it was sent, which
@@ -213,24 +229,32 @@
         let flying: Vec<(u64, (u32, u32))> = self
             .tracks
             .iter()
-            .filter(|(_, t)| t.busy)
+            .filter(|(_, t)| t.call.is_some())
             .map(|((_, _, fence), t)| (*fence, t.sent))
             .collect();
+        // Pieces of one range share its fence.
+        let mut bounds: BTreeMap<u64, u64> = BTreeMap::new();
+        for ((_, _, fence), t) in self.tracks.iter().filter(|(_, t)| t.call.is_some()) {
+            let bound = bounds.entry(*fence).or_default();
+            *bound = t.bound.max(*bound);
+        }
         // By when a call made now has arrived, or never will.
         let late_ms = c::GRANT_WAIT_MS + c::WORKER_SILENCE_MS + 4 * c::FAR_MS as u64;
+        let late_end = self.end_of(now + late_ms);
         let mut acts = Vec::new();
         let mut grants: Vec<(u64, GrantCall)> = Vec::new();
         let mut puts: Vec<Holding> = Vec::new();
         for h in &holdings {
             let worker = stage.workers.get(&h.worker);
             let hold = self.hold(h.fence);
-            let range_end = self.range_end(h);
+            let range_end = self.range_end(h).max(bounds.get(&h.fence).copied().unwrap_or(0));
+            let number = self.calls + 1;
             let long_ms = self.last_ms;
             let long_end = self.end_after(now + late_ms, long_ms);
             let track = self.tracks.entry(Self::key(h)).or_default();
             let Some(worker) = worker else {
                 // Nobody holds it, or the life that held it has ended.
-                if !track.busy {
+                if track.call.is_none() {
                     puts.push(Holding {
                         worker: String::new(),
                         leaving: false,
@@ -245,7 +269,7 @@
                 || stage.benched.contains(&worker.id)
                 || !stage.may_hold(worker)
                 || track.failures >= c::GRANT_FAILURES;
-            if track.busy || now < if must_leave { track.retry_at } else { track.next_at } {
+            if track.call.is_some() || now < if must_leave { track.retry_at } else { track.next_at } {
                 continue;
             }
             if must_leave {
@@ -266,7 +290,8 @@
                         .iter()
                         .any(|(fence, (a, b))| *fence == h.fence && *a <= h.to && *b >= h.from)
                 {
-                    track.busy = true;
+                    self.calls = number;
+                    track.call = Some(number);
                     // What runs goes on until its end; the hold must outlast it. Who
                     // has left grants unanswered is let run out instead.
                     let well = track.failures == 0 && !stage.benched.contains(&worker.id);
@@ -274,14 +299,18 @@
                         track.extended = true;
                         track.extended_end = long_end;
                         track.sent = (h.from, h.to);
+                        track.bound = late_end;
                         acts.push(Act::Grant(GrantCall {
+                            number,
                             address: worker.address.clone(),
                             holding: (**h).clone(),
                             hold_ms: long_ms,
                         }));
                         continue;
                     }
+                    track.bound = 0;
                     let call = ReleaseCall {
+                        number,
                         address: worker.address.clone(),
                         holding: (**h).clone(),
                     };
@@ -298,6 +327,7 @@
                 continue;
             }
             let call = GrantCall {
+                number: 0,
                 address: worker.address.clone(),
                 holding: (**h).clone(),
                 hold_ms: self.hold_ms,
@@ -309,24 +339,16 @@
         self.renew_ms = (holdings.len() as u64 * 1000 / c::GRANTS_PER_S).clamp(c::RENEW_MS, c::RENEW_MAX_MS);
         let room = 8 + holdings.len() * 2 * c::KEYS_EVERY_MS as usize / self.renew_ms as usize;
         grants.sort_by_key(|(due, _)| *due);
-        for (_, call) in grants.into_iter().take(room) {
+        for (_, mut call) in grants.into_iter().take(room) {
+            self.calls += 1;
+            call.number = self.calls;
             if let Some(track) = self.tracks.get_mut(&Self::key(&call.holding)) {
-                track.busy = true;
+                track.call = Some(call.number);
                 track.sent = (call.holding.from, call.holding.to);
+                track.bound = late_end;
             }
             acts.push(Act::Grant(call));
         }
-        for act in &acts {
-            if let Act::Grant(call) = act {
-                let late = now + late_ms;
-                let before = self.hold(call.holding.fence);
-                let hold = Hold {
-                    end: before.end.max(self.end_of(late)),
-                    settled: before.settled,
-                };
-                self.holds.insert(call.holding.fence, hold);
-            }
-        }
         if self.awaiting_log {
             return acts;
         }
@@ -384,60 +406,79 @@
         self.awaiting_log = false;
     }
 
-    pub fn granted(&mut self, now: u64, holding: &Holding, granted: Granted) {
-        let end = self.end_of(now);
+    /// Takes note of how a grant ended; an answer that nobody waits for any more
+    /// changes nothing.
+    pub fn granted(&mut self, now: u64, call: &GrantCall, granted: Granted) {
+        let holding = &call.holding;
         let renew_ms = self.renew_ms;
-        if let Some(t) = self.tracks.get_mut(&Self::key(holding)) {
-            t.busy = false;
-            t.outrun = granted == Granted::Outrun;
-            if matches!(granted, Granted::NotSent | Granted::Outrun) {
-                t.extended_end = 0;
-            }
-            t.failures = if matches!(granted, Granted::NotSent | Granted::Unclear) {
-                t.failures + 1
+        let Some(t) = self.waiting(holding, call.number) else {
+            return;
+        };
+        t.call = None;
+        t.outrun = granted == Granted::Outrun;
+        if matches!(granted, Granted::NotSent | Granted::Outrun) {
+            t.extended_end = 0;
+        }
+        t.failures = if matches!(granted, Granted::NotSent | Granted::Unclear) {
+            t.failures + 1
+        } else {
+            0
+        };
+        // Not all in step: fences in turn come due in turn.
+        let turn = renew_ms / 4 * (holding.fence % 16) / 16;
+        t.next_at = now
+            + if granted == Granted::Yes {
+                renew_ms - turn
             } else {
-                0
+                c::RENEW_MS / 4
             };
-            // Not all in step: fences in turn come due in turn.
-            let turn = renew_ms / 4 * (holding.fence % 16) / 16;
-            t.next_at = now
-                + if granted == Granted::Yes {
-                    renew_ms - turn
-                } else {
-                    c::RENEW_MS / 4
-                };
-        }
-        let failures = self.tracks.get(&Self::key(holding)).map_or(0, |t| t.failures);
-        if failures >= c::GRANT_FAILURES {
+        if t.failures >= c::GRANT_FAILURES {
             self.shunned.insert(holding.worker.clone(), now + c::SHUN_MS);
         }
-        let hold = self.holds.entry(holding.fence).or_default();
+        let mut hold = self.hold(holding.fence);
         match granted {
-            // It arrived by now.
-            Granted::Yes => hold.end = end,
+            // It arrived by now; one before it may still.
+            Granted::Yes => hold.end = self.end_of(now.max(hold.settled)),
             Granted::NotSent | Granted::Outrun => {}
-            Granted::Unclear => hold.settled = now + c::WORKER_SILENCE_MS + 4 * c::FAR_MS as u64,
+            Granted::Unclear => {
+                let settled = now + c::WORKER_SILENCE_MS + 4 * c::FAR_MS as u64;
+                hold.settled = settled.max(hold.settled);
+                hold.end = self.end_of(hold.settled).max(hold.end);
+            }
         }
-    }
-
-    /// After a call that never went out the hold ends when it would have ended
-    /// without it.
-    pub fn not_sent(&mut self, now: u64, holding: &Holding, end_before: u64) {
-        self.granted(now, holding, Granted::NotSent);
-        self.holds.entry(holding.fence).or_default().end = end_before;
+        self.holds.insert(holding.fence, hold);
     }
 
     /// When the hold under a fence has certainly ended.
     pub fn hold_end(&self, fence: u64) -> u64 {
-        self.hold(fence).end
+        let flying = self
+            .tracks
+            .iter()
+            .filter(|((_, _, f), t)| *f == fence && t.call.is_some());
+        flying.map(|(_, t)| t.bound).fold(self.hold(fence).end, u64::max)
+    }
+
+    /// Answers that belonged to no call under way.
+    pub fn unknown_answers(&self) -> u64 {
+        self.unknown_answers
+    }
+
+    /// The track of a call, if it waits for just this one.
+    fn waiting(&mut self, holding: &Holding, number: u64) -> Option<&mut Track> {
+        let track = self.tracks.get_mut(&Self::key(holding));
+        let track = track.filter(|t| t.call == Some(number));
+        if track.is_none() {
+            self.unknown_answers += 1;
+        }
+        track
     }
 
     /// Takes note of a release; the next [`Wardrobe::tick`] goes on from there.
-    pub fn released(&mut self, now: u64, holding: &Holding, released: Released) {
-        let Some(track) = self.tracks.get_mut(&Self::key(holding)) else {
+    pub fn released(&mut self, now: u64, call: &ReleaseCall, released: Released) {
+        let Some(track) = self.waiting(&call.holding, call.number) else {
             return;
         };
-        track.busy = false;
+        track.call = None;
         match released {
             Released::Yes(handover) => track.freed = Some(handover),
             Released::Failed => track.retry_at = now + c::RENEW_MS / 4,
--- a/crates/wardrobe/src/tests.rs
+++ b/crates/wardrobe/src/tests.rs
@@ -57,7 +57,7 @@
                         } else {
                             Granted::Yes
                         };
-                        self.wardrobe.granted(self.now, &g.holding, end);
+                        self.wardrobe.granted(self.now, &g, end);
                     }
                     Act::Release(r) => {
                         let end = if r.holding.worker == dead {
@@ -65,7 +65,7 @@
                         } else {
                             Released::Yes("token".into())
                         };
-                        self.wardrobe.released(self.now, &r.holding, end);
+                        self.wardrobe.released(self.now, &r, end);
                     }
                 }
             }
@@ -270,18 +270,18 @@
         .any(|a| matches!(a, Act::Release(_))));
     for g in grants {
         if let Act::Grant(g) = g {
-            p.wardrobe.granted(p.now, &g.holding, Granted::Yes);
+            p.wardrobe.granted(p.now, &g, Granted::Yes);
         }
     }
     // First a last grant that outlasts what runs, then the release.
     p.now += 100;
     let acts = p.wardrobe.tick(p.now, &p.stage);
     let last = acts.iter().find_map(|a| match a {
-        Act::Grant(g) if g.hold_ms > c::HOLD_MS => Some(g.holding.clone()),
+        Act::Grant(g) if g.hold_ms > c::HOLD_MS => Some(g.clone()),
         _ => None,
     });
     let last = last.expect("a last grant");
-    assert_eq!((last.from, last.to), (0, 99));
+    assert_eq!((last.holding.from, last.holding.to), (0, 99));
     assert!(!acts.iter().any(|a| matches!(a, Act::Release(_))));
     p.wardrobe.granted(p.now, &last, Granted::Yes);
     p.now += 100;
@@ -296,9 +296,13 @@
 fn a_worker_that_has_seen_a_higher_fence_is_granted_under_a_new_one() {
     let mut p = Play::new(2);
     p.run(500, "");
-    let h = p.stage.holding("s", 0).expect("covered").clone();
     let top = p.stage.top_fence();
-    p.wardrobe.granted(p.now, &h, Granted::Outrun);
+    let call = until(&mut p, |act| match act {
+        Act::Grant(g) if g.holding.from == 0 => Some(g.clone()),
+        _ => None,
+    });
+    let h = call.holding.clone();
+    p.wardrobe.granted(p.now, &call, Granted::Outrun);
     p.calls.clear();
     p.run(1500, "");
     let again = p.stage.holding("s", 0).expect("covered");
@@ -403,3 +407,126 @@
     assert_eq!(with_new(&p), 0, "and back");
     p.check_cover();
 }
+
+/// The first act that `wanted` picks, within some seconds; grants and releases
+/// that come before it are answered well.
+fn until<T>(p: &mut Play, wanted: impl Fn(&Act) -> Option<T>) -> T {
+    for _ in 0..100 {
+        p.now += 100;
+        let mut found = None;
+        for act in p.wardrobe.tick(p.now, &p.stage) {
+            if let (None, Some(got)) = (&found, wanted(&act)) {
+                found = Some(got);
+                continue;
+            }
+            match act {
+                Act::Log(put) => p.log(put),
+                Act::Grant(g) => p.wardrobe.granted(p.now, &g, Granted::Yes),
+                Act::Release(r) => p.wardrobe.released(p.now, &r, Released::Yes("t".into())),
+            }
+        }
+        if let Some(found) = found {
+            return found;
+        }
+    }
+    panic!("it was not done");
+}
+
+fn drain(p: &mut Play, id: &str) {
+    let gone = Worker {
+        draining: true,
+        ..worker(id)
+    };
+    p.change(ChangeKind::Workers(WorkersChange {
+        put: vec![gone],
+        ..Default::default()
+    }));
+}
+
+#[test]
+fn a_late_answer_to_a_grant_of_an_earlier_duty_ends_no_hold() {
+    for late in [Granted::Unclear, Granted::Yes, Granted::NotSent, Granted::Outrun] {
+        let mut p = Play::new(2);
+        p.run(500, "");
+        let call = until(&mut p, |act| match act {
+            Act::Grant(g) if g.holding.worker == "w0" => Some(g.clone()),
+            _ => None,
+        });
+        // The duty is lost and found again before the answer comes. Meanwhile
+        // another leader may have granted the same, and that may still arrive.
+        p.now += 300;
+        p.wardrobe.begin(p.now, &p.stage);
+        let least = p.wardrobe.hold_end(call.holding.fence);
+        drain(&mut p, "w0");
+        p.now += 50;
+        p.wardrobe.granted(p.now, &call, late);
+        assert!(p.wardrobe.hold_end(call.holding.fence) >= least, "{late:?}");
+        assert_eq!(p.wardrobe.unknown_answers(), 1);
+        for _ in 0..20 {
+            p.now += 100;
+            for act in p.wardrobe.tick(p.now, &p.stage) {
+                if let Act::Log(put) = act {
+                    let freed = put
+                        .iter()
+                        .any(|h| h.worker != "w0" && h.from == call.holding.from);
+                    assert!(!freed || p.now >= least, "{late:?}: freed at {}", p.now);
+                    p.log(put);
+                }
+            }
+        }
+    }
+}
+
+#[test]
+fn a_late_answer_to_a_release_of_an_earlier_duty_frees_nothing() {
+    let mut p = Play::new(2);
+    p.run(500, "");
+    drain(&mut p, "w0");
+    let call = until(&mut p, |act| match act {
+        Act::Release(r) => Some(r.clone()),
+        _ => None,
+    });
+    // In its next duty it has granted the keys once more, as another leader may
+    // have, when the answer comes.
+    p.now += 100;
+    p.wardrobe.begin(p.now, &p.stage);
+    let again = until(&mut p, |act| match act {
+        Act::Grant(g) if g.holding.fence == call.holding.fence => Some(g.clone()),
+        _ => None,
+    });
+    assert_eq!(again.holding, call.holding);
+    p.wardrobe.released(p.now, &call, Released::Yes("late".into()));
+    for _ in 0..10 {
+        p.now += 100;
+        for act in p.wardrobe.tick(p.now, &p.stage) {
+            assert!(!matches!(act, Act::Log(_)), "freed at {}: {act:?}", p.now);
+        }
+    }
+}
+
+#[test]
+fn an_answer_says_nothing_of_another_call_under_the_same_fence() {
+    // A call of unclear end may arrive after the next one was answered.
+    let mut p = Play::new(1);
+    p.run(500, "");
+    let grant = |p: &mut Play| {
+        until(p, |act| match act {
+            Act::Grant(g) => Some(g.clone()),
+            _ => None,
+        })
+    };
+    let first = grant(&mut p);
+    p.wardrobe.granted(p.now, &first, Granted::Unclear);
+    let least = p.wardrobe.hold_end(first.holding.fence);
+    let second = grant(&mut p);
+    p.wardrobe.granted(p.now, &second, Granted::Yes);
+    assert!(p.wardrobe.hold_end(first.holding.fence) >= least);
+    // A second answer to it changes nothing.
+    let third = grant(&mut p);
+    let least = p.wardrobe.hold_end(first.holding.fence);
+    p.wardrobe.granted(p.now, &second, Granted::Yes);
+    assert_eq!(p.wardrobe.hold_end(first.holding.fence), least);
+    assert_eq!(p.wardrobe.unknown_answers(), 1);
+    p.wardrobe.granted(p.now, &third, Granted::NotSent);
+    assert!(p.wardrobe.hold_end(first.holding.fence) < least);
+}
