A listing goes by only in its duty, and each of its pages once

Cause: a listing of many pages that was begun in one duty and ended in the next was compared with what another leader had logged from a newer list meanwhile: a worker missing in the old one counts as ended and its keys go to another at once. A page that leads back to one asked for before (a doubled answer, or a list that never ends) kept the reading going for ever. Likewise the word that a change of keys is logged was taken for one of a later duty, which then decided again without having seen the change it waited for.

Change: `Listing` puts pages together, each token once, and yields them only if the duty is still the one it was begun in; `Dresser::log` goes by its duty.

The duty of `Dresser::log` has no test of its own: it needs the actor and a leader.

--- a/crates/playhouse/src/keys.rs
+++ b/crates/playhouse/src/keys.rs
@@ -113,13 +113,18 @@
             );
         }
         let change = ChangeKind::Keys(KeysChange { put });
+        let duty = self.since;
         ctx.spawn(
             conductor
                 .send(Propose(change))
                 .into_actor(self)
-                .map(|_, me, ctx| {
-                    me.wardrobe.logged();
-                    me.round(ctx);
+                .map(move |_, me, ctx| {
+                    // Word of a change that was made in an earlier duty says nothing
+                    // of one that this duty waits for.
+                    if me.since == duty {
+                        me.wardrobe.logged();
+                        me.round(ctx);
+                    }
                 }),
         );
     }
--- a/crates/playhouse/src/main.rs
+++ b/crates/playhouse/src/main.rs
@@ -8,6 +8,7 @@
 mod kernel;
 mod keys;
 mod leaving;
+mod listing;
 mod lobby;
 mod placement;
 mod platform;
--- a/crates/playhouse/src/platform.rs
+++ b/crates/playhouse/src/platform.rs
@@ -2,6 +2,7 @@
 
 use crate::conductor::{Conductor, Lease, Propose};
 use crate::kernel::{House, Plugin};
+use crate::listing::{Listing, Next};
 use crate::upstream::{simple, Simple, Upstream};
 use actix::prelude::*;
 use boxoffice::{is_nothing, Caller, Casting, Scene};
@@ -105,7 +106,12 @@
         let begun = self.house.now();
         let as_of = self.house.stage.get().index;
         let mut pages = 0;
-        if let Some(listed) = self.read_list(&mut pages).await {
+        if let Some(listing) = self.read_list(since, &mut pages).await {
+            let duty = conductor.send(Lease).await.ok().flatten();
+            let Some(listed) = listing.finish(duty) else {
+                self.house.counters.add("listings_of_another_duty");
+                return IDLE_MS;
+            };
             let listed = listed.into_iter().map(|(id, l)| (id.clone(), l.into_row(id)));
             let settings = self.house.settings.get();
             let scene = Scene {
@@ -139,15 +145,11 @@
             .collect()
     }
 
-    async fn read_list(&self, pages: &mut u64) -> Option<BTreeMap<String, Listed>> {
+    async fn read_list(&self, duty: u64, pages: &mut u64) -> Option<Listing<Listed>> {
         let address = self.house.settings.get().platform.cloud_api.address.to_string();
-        let mut all = BTreeMap::new();
-        let mut token: Option<String> = None;
+        let mut listing = Listing::begin(duty);
+        let mut path = "/instances".to_string();
         loop {
-            let path = match &token {
-                Some(t) => format!("/instances?PageToken={t}"),
-                None => "/instances".to_string(),
-            };
             *pages += 1;
             self.house.counters.add("platform_calls");
             let call = Simple {
@@ -164,10 +166,10 @@
                 return None;
             }
             let page: Page = serde_json::from_slice(&body).ok()?;
-            all.extend(page.instances);
-            match page.next_token {
-                Some(next) if !next.is_empty() => token = Some(next),
-                _ => return Some(all),
+            match listing.page(page.instances, page.next_token) {
+                Next::Page(token) => path = format!("/instances?PageToken={token}"),
+                Next::Done => return Some(listing),
+                Next::Broken => return None,
             }
         }
     }
