Control: Base-Version is one whole number, given once; a large body is told so

Cause: a repeated `Base-Version` was read as its first value, "+0" and sixty thousand zeros as 0, and the orders were taken; the 413 to an oversized body did not name it.

Change: `base_version` and `change` in desks.rs: a 400 that says what is wrong with `Base-Version`, a 413 that names the body and the limit, nothing taken.

Not done: a 4xx for unknown fields of a configuration. Configurations may bear fields that this version does not know, and an existing test holds that they pass.

Held already, now tested on a node that leads alone (control_tests.rs): requests sent ahead on one connection are answered in turn, each with its own outcome; an order whose caller closed is carried out or not, and its answer goes to nobody (the answer lives in the future that the connection's dispatcher holds, and is dropped with it); orders inside an oversized body are not carried out.

--- a/crates/playhouse/src/desks.rs
+++ b/crates/playhouse/src/desks.rs
@@ -127,28 +127,35 @@
     HttpResponse::build(status).json(serde_json::json!({ "ErrorText": text }))
 }
 
-async fn replace(house: web::Data<Shared>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
-    change(&house.0, &request, &body, Order::Replace).await
+/// A body, or why it could not be read.
+type Bytes = Result<web::Bytes, actix_web::Error>;
+
+async fn replace(house: web::Data<Shared>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    change(&house.0, &request, body, Order::Replace).await
 }
 
-async fn modify(house: web::Data<Shared>, request: HttpRequest, body: web::Bytes) -> HttpResponse {
-    change(&house.0, &request, &body, Order::Modify).await
+async fn modify(house: web::Data<Shared>, request: HttpRequest, body: Bytes) -> HttpResponse {
+    change(&house.0, &request, body, Order::Modify).await
 }
 
 /// A change to the configuration, on top of the version that it names.
 async fn change(
     house: &House,
     request: &HttpRequest,
-    body: &[u8],
+    body: Bytes,
     kind: fn(ReplaceOrder) -> Order,
 ) -> HttpResponse {
-    let base = request
-        .headers()
-        .get("Base-Version")
-        .and_then(|v| v.to_str().ok())
-        .and_then(|v| v.trim().parse().ok());
-    let Some(base) = base else {
-        return fault(StatusCode::BAD_REQUEST, "Base-Version is missing or no number");
+    let base = match base_version(request.headers()) {
+        Ok(base) => base,
+        Err(what) => return fault(StatusCode::BAD_REQUEST, &format!("Base-Version {what}")),
+    };
+    let body = match body {
+        Ok(body) => body,
+        Err(e) if e.as_response_error().status_code() == StatusCode::PAYLOAD_TOO_LARGE => {
+            let text = format!("the body is larger than {CONTROL_BODY} bytes");
+            return fault(StatusCode::PAYLOAD_TOO_LARGE, &text);
+        }
+        Err(e) => return fault(StatusCode::BAD_REQUEST, &format!("the body cannot be read: {e}")),
     };
     let change = ReplaceOrder {
         base,
@@ -158,6 +165,28 @@
     order(house, request, kind(change)).await
 }
 
+/// Digits of the largest number of a version.
+const VERSION_DIGITS: usize = 20;
+
+/// The version that a change builds on: one whole number, given once.
+fn base_version(headers: &header::HeaderMap) -> Result<u64, &'static str> {
+    let mut all = headers.get_all("Base-Version");
+    let Some(value) = all.next() else {
+        return Err("is missing");
+    };
+    if all.next().is_some() {
+        return Err("is given more than once");
+    }
+    let text = value.to_str().map_err(|_| "is no number")?.trim();
+    if text.is_empty() || !text.bytes().all(|b| b.is_ascii_digit()) {
+        return Err("is no number");
+    }
+    if text.len() > VERSION_DIGITS {
+        return Err("is too long");
+    }
+    text.parse().map_err(|_| "is too large")
+}
+
 async fn read(house: web::Data<Shared>, request: HttpRequest) -> HttpResponse {
     order(&house.0, &request, Order::Read(true)).await
 }
--- a/crates/playhouse/src/forwarding_tests.rs
+++ b/crates/playhouse/src/forwarding_tests.rs
@@ -107,7 +107,7 @@
     (script, address)
 }
 
-fn free_port() -> u16 {
+pub(crate) fn free_port() -> u16 {
     std::net::TcpListener::bind("127.0.0.1:0")
         .and_then(|l| l.local_addr())
         .expect("a port")
--- a/crates/playhouse/src/main.rs
+++ b/crates/playhouse/src/main.rs
@@ -22,6 +22,8 @@
 #[cfg(test)]
 mod answers_tests;
 #[cfg(test)]
+mod control_tests;
+#[cfg(test)]
 mod forwarding_tests;
 #[cfg(test)]
 mod vault_tests;
