--- a/crates/playhouse/src/answers_tests.rs
+++ b/crates/playhouse/src/answers_tests.rs
@@ -409,3 +409,96 @@
         .iter()
         .all(|h| h.contains("expected-instance: i-1")));
 }
+
+#[actix_rt::test]
+async fn what_breaks_off_never_looks_whole() {
+    // A client that leaves in its body: the worker sees no end of it.
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let body = "x".repeat(70_000);
+    for framing in ["Transfer-Encoding: chunked", "Content-Length: 90000"] {
+        let chunked = framing.starts_with("Transfer");
+        let front = large_bodies(&[address.clone()]).await;
+        let mut io = TcpStream::connect(front).await.expect("connects");
+        let head = format!("POST /once/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 7\r\n{framing}\r\n\r\n");
+        let part = match chunked {
+            true => format!("{:x}\r\n{body}\r\n", body.len()),
+            false => body.clone(),
+        };
+        io.write_all((head + &part).as_bytes()).await.expect("sends");
+        let (mut worker, _) = listener.accept().await.expect("a call");
+        let mut got = vec![0u8; 60_000];
+        worker.read_exact(&mut got).await.expect("a part of the body");
+        drop(io);
+        worker.read_to_end(&mut got).await.ok();
+        let got = String::from_utf8_lossy(&got);
+        assert!(!got.ends_with("0\r\n\r\n") && got.matches('x').count() < 90_000);
+    }
+    // A worker that breaks off in its answer: the client sees no end of it.
+    let sealed = "HTTP/1.1 200 OK\r\nAttempt-Id: 7\r\nServer-Seal: s\r\n";
+    for (text, reset) in [
+        (format!("{sealed}Content-Length: 90000\r\n\r\n{body}"), false),
+        (format!("{sealed}Content-Length: 90000\r\n\r\n{body}"), true),
+        (
+            format!(
+                "{sealed}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n",
+                body.len()
+            ),
+            false,
+        ),
+        (
+            format!(
+                "{sealed}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\n",
+                90_000
+            ),
+            false,
+        ),
+        (
+            format!(
+                "{sealed}Transfer-Encoding: chunked\r\n\r\n{:x}\r\n{body}\r\nzz\r\n",
+                body.len()
+            ),
+            false,
+        ),
+    ] {
+        let act = Act {
+            close: true,
+            reset,
+            text,
+            ..Act::default()
+        };
+        let (_, address) = worker(move |_, _, _| act.clone()).await;
+        let front = front(&[address]).await;
+        let answer = raw(front, &get("/again/a")).await;
+        if status(&answer) == "200" {
+            let whole = answer.ends_with("0\r\n\r\n") || answer.matches('x').count() >= 90_000;
+            assert!(!whole, "{}", &answer[..200]);
+        } else {
+            assert_eq!(status(&answer), "502");
+        }
+    }
+}
+
+#[actix_rt::test]
+async fn a_client_that_waits_for_a_100_is_told_to_go_on_and_the_worker_hears_nothing_of_it() {
+    let expects = Rc::new(RefCell::new(false));
+    let noted = expects.clone();
+    let (seen, address) = worker(move |_, _, head| {
+        *noted.borrow_mut() |= head.contains("expect:");
+        say(ok("fine"))
+    })
+    .await;
+    let front = front(&[address]).await;
+    let request = post("/once/a", "body").replace("Host:", "Expect: 100-continue\r\nHost:");
+    let (head, body) = request.split_at(request.len() - 4);
+    let mut io = TcpStream::connect(front).await.expect("connects");
+    io.write_all(head.as_bytes()).await.expect("sends");
+    let mut got = vec![0u8; 25];
+    io.read_exact(&mut got).await.expect("an interim answer");
+    assert_eq!(got, b"HTTP/1.1 100 Continue\r\n\r\n");
+    io.write_all(body.as_bytes()).await.expect("sends");
+    let mut rest = String::new();
+    io.read_to_string(&mut rest).await.expect("an answer");
+    assert!(status(&rest) == "200" && rest.ends_with("fine"), "{rest}");
+    assert_eq!((seen.borrow().len(), *expects.borrow()), (1, false));
+}
