A test borrows a slice of one, as clippy asks

Cause: clippy -D warnings fails on a clone made for a slice. Change: std::slice::from_ref; the assertions are as they were.

--- a/crates/playhouse/src/answers_tests.rs
+++ b/crates/playhouse/src/answers_tests.rs
@@ -418,7 +418,7 @@
     let body = "x".repeat(70_000);
     for framing in ["Transfer-Encoding: chunked", "Content-Length: 90000"] {
         let chunked = framing.starts_with("Transfer");
-        let front = large_bodies(&[address.clone()]).await;
+        let front = large_bodies(std::slice::from_ref(&address)).await;
         let mut io = TcpStream::connect(front).await.expect("connects");
         let head = format!("POST /once/a HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: 7\r\n{framing}\r\n\r\n");
         let part = match chunked {
