Stray bytes and ends are looked for in the kernel, not in the runtime's memory

Cause: before a connection is used again it was asked by `try_read`, which answers from the runtime's last look at the sockets: an end or stray bytes that arrived since were not seen, and a request went out behind them. So were letters to a node that had ended.

Change: `sockets::is_quiet` peeks; fresh and pooled connections to workers and the held ones between nodes go by it.

--- a/crates/playhouse/src/post.rs
+++ b/crates/playhouse/src/post.rs
@@ -152,7 +152,8 @@
         while let Ok(more) = queue.try_recv() {
             frame.extend_from_slice(&more);
         }
-        if stream.as_ref().is_some_and(|s| !is_up(s)) {
+        // The peer never speaks on a connection we dialled: it has ended.
+        if stream.as_ref().is_some_and(|s| !sockets::is_quiet(s)) {
             stream = None;
         }
         if stream.is_none() {
@@ -181,11 +182,6 @@
     }
 }
 
-/// The peer never speaks on a connection we dialled: readable means closed.
-fn is_up(stream: &TcpStream) -> bool {
-    matches!(stream.try_read(&mut [0u8; 1]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
-}
-
 async fn listen_to(mut stream: TcpStream, post: Addr<Post>, house: Rc<House>) {
     if sockets::dress(&stream).is_err() {
         return;
--- a/crates/playhouse/src/sockets.rs
+++ b/crates/playhouse/src/sockets.rs
@@ -3,6 +3,7 @@
 use playbill::constants as c;
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::{SocketAddr, SocketAddrV4};
 use std::time::Duration;
 use tokio::net::{TcpListener, TcpStream};
@@ -45,3 +46,10 @@
     dress_for(&stream, silence_ms)?;
     Ok(stream)
 }
+
+/// Nothing has come in that was not read: no end, no stray bytes. The kernel is
+/// asked: what the runtime knows is as old as its last look.
+pub fn is_quiet(stream: &TcpStream) -> bool {
+    let seen = SockRef::from(stream).peek(&mut [MaybeUninit::uninit()]);
+    matches!(seen, Err(e) if e.kind() == io::ErrorKind::WouldBlock)
+}
--- a/crates/playhouse/src/upstream.rs
+++ b/crates/playhouse/src/upstream.rs
@@ -2,7 +2,7 @@
 //! to judge: `actix-http`'s codec over a plain stream. What `awc` would decide
 //! in silence (retries, pooling, what a lost connection means) is decided here.
 
-use crate::sockets;
+use crate::sockets::{self, is_quiet};
 use actix_codec::{Decoder, Encoder};
 use actix_http::body::BodySize;
 use actix_http::h1::{ClientCodec, ClientPayloadCodec, Message, MessageType};
@@ -82,11 +82,6 @@
     nameless: bool,
 }
 
-/// Nothing has come in: no end, no stray bytes.
-fn is_quiet(io: &TcpStream) -> bool {
-    matches!(io.try_read(&mut [0u8; 1]), Err(e) if e.kind() == std::io::ErrorKind::WouldBlock)
-}
-
 struct Idle {
     line: Line,
     since: Instant,
--- a/crates/playhouse/src/upstream/tests.rs
+++ b/crates/playhouse/src/upstream/tests.rs
@@ -35,3 +35,25 @@
     }
     assert_eq!(used, [true, false, true]);
 }
+
+#[actix_rt::test]
+async fn bytes_that_have_arrived_are_seen_before_the_runtime_has_heard_of_them() {
+    use std::io::Write;
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("an address");
+    let mut open = Vec::new();
+    for ends in [false, true] {
+        let io = TcpStream::connect(address).await.expect("connects");
+        assert!(is_quiet(&io));
+        let (mut peer, _) = listener.accept().expect("a connection");
+        if ends {
+            drop(peer);
+        } else {
+            peer.write_all(b"x").expect("sends");
+            open.push(peer);
+        }
+        std::thread::sleep(Duration::from_millis(20));
+        assert!(!is_quiet(&io), "ends: {ends}");
+        assert!(!is_quiet(&io), "nothing was taken");
+    }
+}
