--- /dev/null
+++ b/crates/understudy/tests/repair.rs
@@ -0,0 +1,61 @@
+//! What differs between two copies is sent, and only the newer one gives.
+
+use playbill::letters::{ChangeKind, EvacuationChange, Worker, WorkersChange};
+use playbill::stage::encode_change;
+use playbill::Stage;
+use understudy::{digests, mend_for, mended};
+
+fn add(stage: &mut Stage, index: u64, id: &str) {
+    let put = vec![Worker {
+        id: id.into(),
+        ..Default::default()
+    }];
+    stage.apply(
+        index,
+        &encode_change(ChangeKind::Workers(WorkersChange {
+            put,
+            ..Default::default()
+        })),
+    );
+}
+
+#[test]
+fn only_what_differs_is_sent_and_the_copies_end_equal() {
+    let mut newer = Stage::default();
+    for i in 1..=40 {
+        add(&mut newer, i, &format!("w{i}"));
+    }
+    let mut older = newer.clone();
+    add(&mut newer, 41, "late");
+    newer.apply(
+        42,
+        &encode_change(ChangeKind::Workers(WorkersChange {
+            put: vec![],
+            gone: vec!["w3".into()],
+            ..Default::default()
+        })),
+    );
+    newer.apply(
+        43,
+        &encode_change(ChangeKind::Evacuate(EvacuationChange {
+            zone: "z".into(),
+            begin: true,
+        })),
+    );
+    let mend = mend_for(&newer, &digests(&older)).expect("they differ");
+    assert!(mend.ranges.len() <= 3, "{:?}", mend.ranges);
+    older = mended(&older, &mend).expect("readable");
+    assert_eq!(older.image(), newer.image());
+    assert!(mend_for(&newer, &digests(&older)).is_none());
+}
+
+#[test]
+fn the_newer_copy_is_never_mended_from_the_older() {
+    let mut old = Stage::default();
+    add(&mut old, 1, "a");
+    let mut new = old.clone();
+    add(&mut new, 2, "b");
+    assert!(mend_for(&old, &digests(&new)).is_none());
+    let stale = mend_for(&old, &digests(&Stage::default())).expect("differs");
+    assert!(mended(&new, &stale).is_none());
+}
