A connection that cannot tell doubles costs no more than its place

Cause: a connection that had carried an answer without an id was kept from requests that must not run twice for good, and stayed among the idle ones: with many requests turned away a worker would have got more connections than before.

Change: only the last answer counts, since a double follows what it doubles before the next answer; and a new connection takes the place of one that could not be used.

What it costs under load has not been measured: each request that must not run twice and comes upon such a connection opens a new one.

--- a/crates/playhouse/src/upstream.rs
+++ b/crates/playhouse/src/upstream.rs
@@ -78,7 +78,7 @@
     io: TcpStream,
     buf: BytesMut,
     codec: ClientCodec,
-    /// It has carried an answer without an id: a doubled one would bear none.
+    /// Its last answer bore no id: a doubled one would bear none.
     nameless: bool,
 }
 
@@ -147,14 +147,22 @@
             let young = now.duration_since(i.since) < Duration::from_millis(reuse_ms);
             young && now < i.until && i.line.buf.is_empty() && is_quiet(&i.line.io)
         };
+        let mut passed = None;
         for at in (0..lines.len()).rev() {
             if pairing == Pairing::IdOnce && lines[at].line.nameless {
+                passed = Some(at);
                 continue;
             }
             let i = lines.remove(at);
             if usable(&i) {
                 return Some((i.line, now.duration_since(i.since)));
             }
+            passed = passed.map(|p| p - 1);
+        }
+        // The new one stands in the place of the oldest that it cannot use, so that
+        // the worker does not get more of them.
+        if let Some(at) = passed {
+            lines.remove(at);
         }
         None
     }
--- a/crates/playhouse/src/upstream/tests.rs
+++ b/crates/playhouse/src/upstream/tests.rs
@@ -57,3 +57,32 @@
         assert!(!is_quiet(&io), "nothing was taken");
     }
 }
+
+#[actix_rt::test]
+async fn a_connection_whose_last_answer_bore_no_id_is_for_repeatable_requests_and_makes_room_else() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    for (nameless, pairing, used, left) in [
+        ([true, true], Pairing::Id, true, 1),
+        ([true, true], Pairing::IdOnce, false, 1),
+        ([false, true], Pairing::IdOnce, true, 1),
+        ([true, false], Pairing::IdOnce, true, 1),
+    ] {
+        let upstream = Upstream::new();
+        for nameless in nameless {
+            let line = Line {
+                io: TcpStream::connect(&address).await.expect("connects"),
+                buf: BytesMut::new(),
+                codec: ClientCodec::new(ServiceConfig::default()),
+                nameless,
+            };
+            upstream.keep(&address, line, 100_000);
+        }
+        let taken = upstream.take_idle(&address, 60_000, pairing);
+        assert_eq!(taken.is_some(), used);
+        assert!(!taken.is_some_and(|(l, _)| l.nameless && pairing == Pairing::IdOnce));
+        assert_eq!(upstream.idle.borrow()[&address].len(), left);
+    }
+}
--- a/crates/usher/src/attempt.rs
+++ b/crates/usher/src/attempt.rs
@@ -91,8 +91,8 @@
     phase: Phase,
     /// Whether the request has an id that answers echo.
     named: bool,
-    /// An answer without an id was taken on this connection before, and a
-    /// doubled one could not be told from ours.
+    /// The answer before on this connection bore no id, and a doubled one could
+    /// not be told from ours.
     nameless: bool,
     all_sent: bool,
     strangers: u32,
@@ -102,8 +102,8 @@
 }
 
 impl Attempt {
-    /// An attempt at a request with an id, on a connection that has or has not
-    /// carried an answer without one.
+    /// An attempt at a request with an id, on a connection on which the answer
+    /// before bore none, or not.
     pub fn named(nameless: bool) -> Attempt {
         Attempt {
             phase: Phase::Unsent,
@@ -184,8 +184,8 @@
     }
 
     /// Whether the answer taken can be nobody else's. One without an id can be
-    /// only ours if nothing else without one was ever answered on the connection
-    /// and nothing strange has come: a doubled answer repeats the id it had.
+    /// only ours if the answer before on the connection bore one, and nothing
+    /// strange has come: a doubled answer repeats the id it had.
     fn is_attributable(&self, head: &Head) -> bool {
         !self.named || head.echo == Echo::Ours || !self.nameless && self.strangers == 0
     }
@@ -224,9 +224,10 @@
         self.phase == Phase::Ended && self.all_sent && !self.over && self.strangers == 0
     }
 
-    /// Whether the connection has carried an answer without an id.
+    /// Whether the last answer on the connection bore no id: what doubles it
+    /// follows it before the next.
     pub fn is_nameless(&self) -> bool {
-        self.nameless || self.head.is_some_and(|h| h.echo == Echo::Missing)
+        self.head.map_or(self.nameless, |h| h.echo == Echo::Missing)
     }
 }
 
