A call on a new connection leaves the idle ones to others

Since the change to one function for both, a call that asked for a new connection dropped all idle ones to its address. It leaves them again, as before; only a release takes their place, so that its worker gets no more connections than it had. The test of requests without an id now sees the first connection used again (with the stray answer on it passed over) in place of a third one.

--- a/crates/playhouse/src/keys.rs
+++ b/crates/playhouse/src/keys.rs
@@ -142,6 +142,10 @@
     ) -> impl std::future::Future<Output = Answered> + 'static {
         let upstream = self.upstream.clone();
         let body = Bytes::from(body.to_string());
+        if path == RELEASE {
+            // The worker may be short of connections: one in the place of others.
+            upstream.forget(&address);
+        }
         async move {
             let call = Simple {
                 method: actix_http::Method::POST,
--- a/crates/playhouse/src/upstream.rs
+++ b/crates/playhouse/src/upstream.rs
@@ -182,8 +182,10 @@
 
     /// A connection to make a call on, and how long it has rested if it did.
     async fn line(&self, address: &str, terms: &Terms) -> Result<(Line, Option<Duration>), Fault> {
-        if let Some((line, rested)) = self.take_idle(address, terms.reuse_ms, terms.pairing) {
-            return Ok((line, Some(rested)));
+        if terms.reuse_ms > 0 {
+            if let Some((line, rested)) = self.take_idle(address, terms.reuse_ms, terms.pairing) {
+                return Ok((line, Some(rested)));
+            }
         }
         let io = sockets::connect_for(address, terms.connect_ms, terms.silence_ms).await;
         let io = io.map_err(|_| Fault::NotSent)?;
