Tests take their ports from below those that the kernel hands out

Cause: `free_port` took a port from the kernel and closed it; until the front listened there another test's connection could get it. Seen once in some 40 runs since there are more tests ("cannot listen").

Change: ports from 10,000 up, counted within the process and begun by its id. No assertion is touched.

--- a/crates/playhouse/src/forwarding_tests.rs
+++ b/crates/playhouse/src/forwarding_tests.rs
@@ -8,6 +8,7 @@
 use std::cell::RefCell;
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::sync::atomic::{AtomicU32, Ordering};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -107,11 +108,17 @@
     (script, address)
 }
 
+/// A port that nobody listens on, below those that the kernel hands out: there
+/// another test's connection could take it before it is listened on.
 pub(crate) fn free_port() -> u16 {
-    std::net::TcpListener::bind("127.0.0.1:0")
-        .and_then(|l| l.local_addr())
-        .expect("a port")
-        .port()
+    static TAKEN: AtomicU32 = AtomicU32::new(0);
+    loop {
+        let taken = TAKEN.fetch_add(1, Ordering::Relaxed);
+        let port = 10_000 + ((std::process::id() * 61 + taken) % 20_000) as u16;
+        if std::net::TcpListener::bind(("127.0.0.1", port)).is_ok() {
+            return port;
+        }
+    }
 }
 
 pub(crate) const CONFIG: &str = r#"{"Version":1,"Limits":{"HeaderMaxBytes":2000,"BodyMaxBytes":1000,"HeaderTimeout":"9s","IdleTimeout":"9s"},
