An order under way is the one that is repeated; a mend fits the copy that asked

Cause: the leader looked for the order that one repeats in its applied state only: the same evacuation sent again while the first stood in its log counted twice (found by random worlds, a node frozen for 1.9 s).

Change: Ledger::repeated looks at the orders under way first; the conductor keeps the digests that it sent and takes a mend for no other copy.

Ruled out: joining equal orders as configurations do (their callers' tags differ, and the log must know both).

--- a/crates/playbill/src/ledger.rs
+++ b/crates/playbill/src/ledger.rs
@@ -169,6 +169,23 @@
         (newest.taken && same(newest)).then_some(newest.index)
     }
 
+    /// The index of the order that a leader takes this one to repeat: of those under way in
+    /// its log (index and tag), which stand behind all that is applied, or else of those
+    /// remembered, if `recent` says of its index that it came a moment ago.
+    pub fn repeated<'a>(
+        &self,
+        tag: &OrderTag,
+        under_way: impl Iterator<Item = (u64, &'a OrderTag)>,
+        recent: impl Fn(u64) -> bool,
+    ) -> Option<u64> {
+        let on_it =
+            |(_, t): &(u64, &OrderTag)| t.subject == tag.subject && (t.digest == tag.digest || !tag.cautious);
+        match under_way.filter(on_it).max_by_key(|(index, _)| *index) {
+            Some((index, t)) => (t.digest == tag.digest).then_some(index),
+            None => self.alike(tag).filter(|index| recent(*index)),
+        }
+    }
+
     /// The indexes of the orders with a tag that are remembered, ascending.
     pub fn indexes(&self) -> impl Iterator<Item = u64> + '_ {
         self.orders.iter().map(|o| o.index)
--- a/crates/playbill/tests/ledger.rs
+++ b/crates/playbill/tests/ledger.rs
@@ -268,3 +268,28 @@
     );
     assert_eq!(stage.evacuated.get("z"), Some(&1));
 }
+
+#[test]
+fn an_order_under_way_is_the_one_that_is_repeated() {
+    let mut stage = Stage::default();
+    let mut first = tag(1, 0, true);
+    let ledger = &stage.ledger;
+    // The first stands in the log and is not applied yet.
+    let log = [(1, &first)];
+    let again = ledger.repeated(&tag(2, 0, true), log.into_iter(), |_| false);
+    assert_eq!(again, Some(1));
+    let finish = tag(2, 0, false);
+    let log = [(1, &first), (2, &finish)];
+    assert_eq!(ledger.repeated(&tag(3, 0, true), log.into_iter(), |_| true), None);
+    for (index, tag) in [(1, tag(1, 0, true)), (2, tag(2, 0, true))] {
+        let again = if index == 2 { 1 } else { 0 };
+        stage.apply(
+            index,
+            &encode_order(evacuation(true), Some(OrderTag { again, ..tag })),
+        );
+    }
+    assert_eq!(stage.evacuated.get("z"), Some(&1), "sent twice, counted once");
+    first.number = 9;
+    let repeated = |recent: bool| stage.ledger.repeated(&first, std::iter::empty(), |_| recent);
+    assert_eq!((repeated(true), repeated(false)), (Some(1), None));
+}
--- a/crates/playhouse/src/conductor/mod.rs
+++ b/crates/playhouse/src/conductor/mod.rs
@@ -160,6 +160,8 @@
     term: u64,
     /// Of a configuration order, so that the same order sent again joins it.
     key: Option<TakenOrder>,
+    /// Of an order without a base.
+    tag: Option<OrderTag>,
     waiters: Vec<Waiter>,
 }
 
@@ -182,8 +184,8 @@
     last_read: u64,
     /// Calls passed on, by the node asked.
     calls: Calls<u64, oneshot::Sender<ControlAnswer>>,
-    /// Peers asked for what this copy lacks.
-    mends: Calls<u64, ()>,
+    /// Peers asked for what this copy lacks, and the digests that they were sent.
+    mends: Calls<u64, Digests>,
     /// The last number given to an order that reached this process.
     last_order: u64,
     /// When each order of the ledger was first seen here.
@@ -593,15 +595,14 @@
                     life: Life(mend.life),
                     number: mend.id,
                 };
-                let asked = self.mends.finish(&letter.from, call, self.house.now());
-                if asked.is_none() {
+                let Some(asked) = self.mends.finish(&letter.from, call, self.house.now()) else {
                     self.house.counters.add("answers_unknown");
                     return;
-                }
+                };
                 if self.house.standing.get().current && !self.mended {
                     return;
                 }
-                if let Some(stage) = understudy::mended(&self.stage, &mend) {
+                if let Some(stage) = understudy::mended_since(&self.stage, &asked, &mend) {
                     log::info!("event=mended index={} ranges={}", mend.index, mend.ranges.len());
                     self.house.counters.add("mended_from_peers");
                     self.stage = stage;
--- a/crates/playhouse/src/conductor/orders.rs
+++ b/crates/playhouse/src/conductor/orders.rs
@@ -40,9 +40,14 @@
             return rx;
         }
         if self.prompter.is_settled() {
-            if let Some((index, term)) = self.prompter.propose(encode_order(kind, tag)) {
-                let waiters = vec![tx];
-                self.proposals.insert(index, Proposal { term, key, waiters });
+            if let Some((index, term)) = self.prompter.propose(encode_order(kind, tag.clone())) {
+                let proposal = Proposal {
+                    term,
+                    key,
+                    tag,
+                    waiters: vec![tx],
+                };
+                self.proposals.insert(index, proposal);
                 self.flush();
             }
         }
@@ -63,9 +68,14 @@
     /// What is byte for byte alike cannot be told apart any better; the log has the
     /// last word, and holds it for all leaders.
     fn resent(&self, tag: &OrderTag) -> Option<u64> {
-        let index = self.stage.ledger.alike(tag)?;
-        let seen = self.orders_seen.get(&index)?;
-        (self.house.now().saturating_sub(*seen) < c::SAME_ORDER_MS).then_some(index)
+        let now = self.house.now();
+        let under_way = self.proposals.iter();
+        let under_way = under_way.filter_map(|(index, p)| Some((*index, p.tag.as_ref()?)));
+        let recent = |index: u64| {
+            let seen = self.orders_seen.get(&index);
+            seen.is_some_and(|at| now.saturating_sub(*at) < c::SAME_ORDER_MS)
+        };
+        self.stage.ledger.repeated(tag, under_way, recent)
     }
 
     /// Notes when the orders of the ledger were first seen here.
--- a/crates/playhouse/src/conductor/tending.rs
+++ b/crates/playhouse/src/conductor/tending.rs
@@ -226,7 +226,7 @@
         let asked = near.choose(&mut rng).into_iter().chain(far.choose(&mut rng));
         let digests = understudy::digests(&self.stage);
         for m in asked {
-            let call = self.mends.begin(m.id, now, ());
+            let call = self.mends.begin(m.id, now, digests.clone());
             let digests = Digests {
                 life: call.life.0,
                 id: call.number,
