Agreement: the roll is repaired by who lives, and a leaver's vote is given over

Cause: next_roll added every newcomer first and counted the dead with the rest. Six voters with a region wiped became eight with two dead; losing the same region again, or another one later, left four of eight. The same with three: four with one dead.

Change: losses.rs says what voters have to spare for a loss that takes in what is lost already, and for a fresh one. next_roll takes, of the changes open now, the one that leaves most to spare, and none that would leave too few. A voter tells the leader that it is about to end (Leaving) and hears whether the others go on with all that is committed (MayEnd). A leader passes leadership on only to who has every entry, and leads on if that fails: before, it took no order until it ended.

Ruled out: joint consensus (a second kind of majority in every count, for at most six single steps); adding first; not replacing before a loss may come again. Tried and dropped: counting the dead as the loss under way in all cases (a machine removed for good and a wiped one are more than may be lost, and every order of changes looked alike); letting any newcomer in while too few are left (eight voters again, under a new leader); giving a leaver's vote away without a majority in contact (the core stopped).

--- a/crates/playhouse/src/conductor/tending.rs
+++ b/crates/playhouse/src/conductor/tending.rs
@@ -186,6 +186,7 @@
         let patience = Patience {
             contact: c::CONTACT_MS,
             gone: c::VOTER_GONE_MS,
+            left: c::VOTER_LEFT_MS,
         };
         if let Some(roll) = next_roll(&self.prompter, now, &seen, self.losses(), patience) {
             log::info!(
--- a/crates/prompter/src/cue.rs
+++ b/crates/prompter/src/cue.rs
@@ -81,6 +81,10 @@
     TakeOver = 7,
     /// A node without a vote asks a voter to pass the log on to it.
     Follow = 8,
+    /// A voter tells the leader that it is about to end; `index` is its last entry.
+    Leaving = 9,
+    /// The answer: whether the others go on with all that is committed.
+    MayEnd = 10,
 }
 
 /// A message of the agreement.
--- a/crates/prompter/src/lib.rs
+++ b/crates/prompter/src/lib.rs
@@ -6,13 +6,15 @@
 //! out through [`Prompter::take_effects`].
 
 mod cue;
+mod losses;
 mod machine;
 mod near;
 mod progress;
 mod tend;
 
 pub use cue::{Cue, CueKind, Entry, EntryKind, Roll, Snapshot, Voter};
+pub use losses::{bears, Losses};
 pub use near::{FollowTiming, Following, Source};
-pub use tend::{bears, next_roll, Losses, Patience, Seen};
+pub use tend::{bears_loss, may_end, next_roll, Patience, Seen};
 
 pub use machine::{Effects, Prompter, Role, Saved, Timing, Write};
--- a/crates/prompter/src/machine.rs
+++ b/crates/prompter/src/machine.rs
@@ -2,6 +2,7 @@
 
 use crate::cue::*;
 use crate::progress::Progress;
+use crate::tend::may_end;
 use prost::Message;
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -57,7 +58,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct Effects {
     pub write: Write,
     /// To be sent at once.
@@ -71,6 +72,8 @@
     pub reads: Vec<(u64, bool)>,
 }
 
+/// One node's part in the agreement. Copies serve tests that play what may follow.
+#[derive(Clone)]
 pub struct Prompter {
     id: u64,
     timing: Timing,
@@ -108,7 +111,12 @@
     lease_until: u64,
     led_since: u64,
     reads: Vec<(u64, u64, u64)>,
-    handing_over: Option<u64>,
+    /// To whom leadership is being passed, and since when.
+    handing_over: Option<(u64, u64)>,
+    /// This node is about to end.
+    leaving: bool,
+    /// The leader has said that the others go on without this node.
+    may_end: bool,
     gave_way_at: Option<u64>,
     unfit: bool,
     /// Nodes without a vote that this node passes the log on to.
@@ -157,6 +165,8 @@
             led_since: 0,
             reads: Vec::new(),
             handing_over: None,
+            leaving: false,
+            may_end: false,
             gave_way_at: None,
             unfit: false,
             followers: BTreeMap::new(),
@@ -276,6 +286,13 @@
     pub fn progress(&self, id: u64) -> Option<&Progress> {
         self.progress.get(&id)
     }
+    /// The last entry known to be on a voter's disk; as the leader knows it.
+    pub fn on_disk(&self, id: u64) -> u64 {
+        match self.progress.get(&id) {
+            _ if id == self.id => self.stable,
+            progress => progress.map_or(0, |p| p.matched),
+        }
+    }
     /// Whether a change of the roll is still on its way.
     pub fn roll_pending(&self) -> bool {
         self.roll_index > self.commit
@@ -355,33 +372,96 @@
     pub fn set_unfit(&mut self, unfit: bool) {
         self.unfit = unfit;
         if unfit && self.is_leader() {
-            self.hand_over();
-            self.become_follower(self.term, 0);
+            self.give_up_lead();
         }
     }
 
-    /// Passes leadership to the voter that is furthest.
+    /// Passes leadership to the voter that is furthest, once that has every entry.
+    /// Until then, and no longer than a failed election takes, nothing is proposed; then
+    /// this node leads on.
     pub fn hand_over(&mut self) {
-        if !self.is_leader() {
+        if !self.is_leader() || self.handing_over.is_some() {
             return;
         }
-        let best = self
-            .roll
-            .voters
-            .iter()
-            .filter(|v| v.id != self.id)
-            .filter_map(|v| self.progress.get(&v.id).map(|p| (p.matched, p.heard_at, v.id)))
-            .filter(|(_, heard, _)| self.now.saturating_sub(*heard) < self.timing.election_min)
-            .max();
-        if let Some((_, _, to)) = best {
-            self.handing_over = Some(to);
+        if let Some((to, matched)) = self.furthest() {
+            self.handing_over = Some((to, self.now));
+            if matched == self.last_index() {
+                self.send_take_over(to);
+            }
+        }
+    }
+
+    /// Ends its lead, and asks the voter that is furthest to stand at once.
+    fn give_up_lead(&mut self) {
+        if let Some((to, _)) = self.furthest() {
+            self.send_take_over(to);
+        }
+        self.become_follower(self.term, 0);
+    }
+
+    /// The voter in contact that has most of the log, rather one that stays, and what
+    /// it has.
+    fn furthest(&self) -> Option<(u64, u64)> {
+        let voters = self.roll.voters.iter().filter(|v| v.id != self.id);
+        voters
+            .filter_map(|v| self.progress.get(&v.id).map(|p| (p, v.id)))
+            .filter(|(p, _)| self.now.saturating_sub(p.heard_at) < self.timing.election_min)
+            .max_by_key(|(p, id)| (p.matched, !p.was_leaving(), p.heard_at, *id))
+            .map(|(p, id)| (id, p.matched))
+    }
+
+    fn send_take_over(&mut self, to: u64) {
+        let cue = Cue {
+            kind: CueKind::TakeOver as i32,
+            term: self.term,
+            ..Default::default()
+        };
+        self.out.now.push((to, cue));
+    }
+
+    /// This node is about to end: it passes leadership on, or tells the leader so. To be
+    /// repeated until [`Prompter::may_end`], or until there is no more time.
+    pub fn leave(&mut self, now: u64) {
+        self.now = now;
+        self.leaving = true;
+        if self.is_leader() {
+            self.may_end = false;
+            self.hand_over();
+        } else if self.leader != 0 {
             let cue = Cue {
-                kind: CueKind::TakeOver as i32,
+                kind: CueKind::Leaving as i32,
                 term: self.term,
+                index: self.last_index(),
                 ..Default::default()
             };
-            self.out.now.push((to, cue));
+            self.out.now.push((self.leader, cue));
+        }
+    }
+
+    /// Whether nothing would be lost, for good or for now, if this node ended: it does
+    /// not vote, or the leader has said that the others go on with all that it holds.
+    pub fn may_end(&self) -> bool {
+        !self.roll.has(self.id) || self.may_end && !self.is_leader()
+    }
+
+    /// A voter says that it is about to end.
+    fn on_leaving(&mut self, from: u64, cue: Cue) {
+        let now = self.now;
+        if !self.is_leader() || cue.term != self.term {
+            return;
         }
+        if let Some(p) = self.progress.get_mut(&from) {
+            p.heard_at = now;
+            p.leaving_at = Some(now);
+        }
+        let all_committed = cue.index <= self.commit;
+        let reply = Cue {
+            kind: CueKind::MayEnd as i32,
+            term: self.term,
+            yes: all_committed && may_end(self, from, now, self.timing.election_min),
+            ..Default::default()
+        };
+        self.out.now.push((from, reply));
     }
 
     /// Puts a change at the end of the log; the index it got, if this node leads.
@@ -468,6 +548,11 @@
                     self.become_follower(self.term, 0);
                     return;
                 }
+                let failed =
+                    |(_, since): &(u64, u64)| now.saturating_sub(*since) > 2 * self.timing.election_min;
+                if self.handing_over.as_ref().is_some_and(failed) {
+                    self.handing_over = None;
+                }
                 if now >= self.beat_at {
                     self.round += 1;
                     self.rounds.push_back((self.round, now));
@@ -614,14 +699,21 @@
         }
         self.role = Role::Follower;
         self.leader = leader;
+        self.may_end = false;
         self.handing_over = None;
         self.rest();
     }
 
     /// Waits a fresh election time.
     fn rest(&mut self) {
+        // Whoever is about to end lets others stand first.
+        let later = if self.leaving {
+            2 * self.timing.election_min
+        } else {
+            0
+        };
         self.deadline =
-            self.now + self.timing.election_min + self.rng.gen_range(0..=self.timing.election_spread);
+            self.now + later + self.timing.election_min + self.rng.gen_range(0..=self.timing.election_spread);
     }
 
     fn heard_by_majority(&self, within: u64) -> bool {
@@ -711,6 +803,8 @@
             }
             CueKind::Appended if self.on_fed(from, &cue) => {}
             CueKind::Appended => self.on_appended(from, cue),
+            CueKind::Leaving => self.on_leaving(from, cue),
+            CueKind::MayEnd if from == self.leader && cue.term == self.term => self.may_end = cue.yes,
             CueKind::TakeOver if cue.term == self.term && self.role == Role::Follower => {
                 self.campaign(true);
             }
@@ -881,13 +975,9 @@
         if behind {
             self.send_to(from, false);
         }
-        if self.handing_over == Some(from) && self.progress.get(&from).is_some_and(|p| p.matched == last) {
-            let cue = Cue {
-                kind: CueKind::TakeOver as i32,
-                term: self.term,
-                ..Default::default()
-            };
-            self.out.now.push((from, cue));
+        let has_all = self.progress.get(&from).is_some_and(|p| p.matched == last);
+        if has_all && self.handing_over.is_some_and(|(to, _)| to == from) {
+            self.send_take_over(from);
         }
     }
 
@@ -897,18 +987,7 @@
         if !self.is_leader() {
             return;
         }
-        let mut matched: Vec<u64> = self
-            .roll
-            .voters
-            .iter()
-            .map(|v| {
-                if v.id == self.id {
-                    self.stable
-                } else {
-                    self.progress.get(&v.id).map_or(0, |p| p.matched)
-                }
-            })
-            .collect();
+        let mut matched: Vec<u64> = self.roll.voters.iter().map(|v| self.on_disk(v.id)).collect();
         matched.sort_unstable_by(|a, b| b.cmp(a));
         let Some(&index) = matched.get(self.roll.majority() - 1) else {
             return;
@@ -917,8 +996,7 @@
             self.commit = index;
             // A leader that has voted itself out stops once that is settled.
             if !self.roll.has(self.id) && self.roll_index <= self.commit {
-                self.hand_over();
-                self.become_follower(self.term, 0);
+                self.give_up_lead();
                 return;
             }
             self.send_all(true);
@@ -1106,6 +1184,11 @@
     }
 
     fn adopt_roll(&mut self, roll: Roll, index: u64) {
+        for v in roll.voters.iter().filter(|v| !self.roll.has(v.id)) {
+            if let Some(p) = self.progress.get_mut(&v.id) {
+                p.voter_since = Some(self.now);
+            }
+        }
         self.roll = roll;
         self.roll_index = index;
         if self.is_leader() {
--- a/crates/prompter/src/progress.rs
+++ b/crates/prompter/src/progress.rs
@@ -13,9 +13,23 @@
     pub heard_at: u64,
     pub sent_at: u64,
     pub snapshot_at: Option<u64>,
+    /// When the node became a voter, if this leader made it one.
+    pub voter_since: Option<u64>,
+    /// When the node last said that it is about to end.
+    pub leaving_at: Option<u64>,
 }
 
+/// Words that are on their way when a node says that it is about to end, ms.
+const LAST_WORDS_MS: u64 = 500;
+
 impl Progress {
+    /// Whether the node was about to end when it was last heard. One that is back
+    /// has been heard since, and says so no more.
+    pub fn was_leaving(&self) -> bool {
+        self.leaving_at
+            .is_some_and(|at| self.heard_at <= at + LAST_WORDS_MS)
+    }
+
     /// Whether a snapshot was sent to the node and may still be on its way.
     pub fn awaits_snapshot(&self, now: u64, resend: u64) -> bool {
         self.snapshot_at.is_some_and(|at| now.saturating_sub(at) < resend)
--- a/crates/prompter/src/tend.rs
+++ b/crates/prompter/src/tend.rs
@@ -1,16 +1,10 @@
-//! The leader's care for the roll: who is to vote, one voter at a time.
+//! The leader's care for the roll: who is to vote, one voter at a time, and whether
+//! what is acknowledged bears a loss.
 
 use crate::cue::{Roll, Voter};
+use crate::losses::{cases, majority, spare, spare_later, Case, Losses};
 use crate::machine::Prompter;
-use std::collections::HashMap;
-
-/// What may be lost at the same time.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Losses {
-    pub machines: u32,
-    pub zones: u32,
-    pub regions: u32,
-}
+use crate::progress::Progress;
 
 /// Another node of this cluster, as the membership shows it.
 #[derive(Clone, Debug)]
@@ -27,31 +21,63 @@
     pub contact: u64,
     /// A voter silent for longer may be removed.
     pub gone: u64,
+    /// The same for a voter that said it leaves, or whose successor stands by.
+    pub left: u64,
 }
 
 /// Entries that a newcomer may lack and still count as caught up.
 const NEARLY: u64 = 8;
 
-/// Whether these voters still have a majority after what may be lost.
-pub fn bears(roll: &Roll, losses: Losses) -> bool {
-    let largest = |key: fn(&Voter) -> &String, count: u32| -> usize {
-        let mut sizes: HashMap<&String, usize> = HashMap::new();
-        for v in &roll.voters {
-            *sizes.entry(key(v)).or_default() += 1;
-        }
-        let mut sizes: Vec<usize> = sizes.into_values().collect();
-        sizes.sort_unstable_by(|a, b| b.cmp(a));
-        sizes.into_iter().take(count as usize).sum()
-    };
-    let lost = (losses.machines as usize)
-        .max(largest(|v| &v.zone, losses.zones))
-        .max(largest(|v| &v.region, losses.regions));
-    roll.voters.len().saturating_sub(lost) >= roll.majority()
+/// Whether this node has heard another within `contact` ms, and since it leads.
+fn in_contact(prompter: &Prompter, id: u64, now: u64, contact: u64) -> bool {
+    id == prompter.id()
+        || prompter
+            .progress(id)
+            .is_some_and(|p| p.round > 0 && now.saturating_sub(p.heard_at) < contact)
+}
+
+/// Whether the entry at `index` may be acknowledged by this leader: it is committed, it
+/// is on the disks of a majority of the roll in force, and whatever loss inside `losses`
+/// there is by now (voters not heard for `contact` ms are part of it, not on top of
+/// it), a majority is left, any of which holds the entry in at least one disk. `false`
+/// on a node that does not lead.
+pub fn bears_loss(prompter: &Prompter, index: u64, now: u64, losses: Losses, contact: u64) -> bool {
+    if !prompter.is_settled() || index > prompter.commit() {
+        return false;
+    }
+    let voters: Vec<&Voter> = prompter.roll().voters.iter().collect();
+    let holders = voters.iter().filter(|v| prompter.on_disk(v.id) >= index).count();
+    let lost: Vec<&Voter> = voters
+        .iter()
+        .filter(|v| !in_contact(prompter, v.id, now, contact))
+        .copied()
+        .collect();
+    holders >= majority(voters.len()) && spare(&voters, &lost, losses) >= 0
+}
+
+/// Whether the core goes on, with all that was committed, if voter `id` ends now:
+/// the others in contact are a majority, any of which holds every committed entry.
+pub fn may_end(prompter: &Prompter, id: u64, now: u64, contact: u64) -> bool {
+    let majority = prompter.roll().majority();
+    let others: Vec<u64> = prompter
+        .roll()
+        .voters
+        .iter()
+        .map(|v| v.id)
+        .filter(|v| *v != id && in_contact(prompter, *v, now, contact))
+        .collect();
+    let lack = others
+        .iter()
+        .filter(|v| prompter.on_disk(**v) < prompter.commit())
+        .count();
+    prompter.is_settled() && others.len() >= majority && lack < majority
 }
 
-/// The roll that should come next, if another one should: a caught-up newcomer
-/// with a disk is added; a voter whose disk is lost, or that has long been
-/// silent, is removed if the rest still bears what may be lost.
+/// The roll that should come next, if another one should. A caught-up newcomer with a
+/// disk is added; a voter whose disk is lost, that has left or that has long been silent
+/// is removed. Of the changes that are open now the one is taken that leaves most to
+/// spare; none that would leave too few after a loss that may still come, if there
+/// are enough now.
 pub fn next_roll(
     prompter: &Prompter,
     now: u64,
@@ -62,36 +88,196 @@
     if !prompter.is_settled() || prompter.roll_pending() {
         return None;
     }
-    let me = prompter.id();
-    let roll = prompter.roll();
-    let heard = |id: u64| {
-        id == me
-            || prompter
-                .progress(id)
-                .is_some_and(|p| now.saturating_sub(p.heard_at) < patience.contact)
+    let view = View {
+        prompter,
+        now,
+        seen,
+        patience,
     };
-    let newcomer = seen.iter().find(|s| {
-        let caught_up = prompter
-            .progress(s.voter.id)
-            .is_some_and(|p| p.matched > 0 && p.matched + NEARLY >= prompter.last_index());
-        s.disk && s.alive && !roll.has(s.voter.id) && heard(s.voter.id) && caught_up
-    });
-    if let Some(s) = newcomer {
-        let mut voters = roll.voters.clone();
-        voters.push(s.voter.clone());
-        return Some(Roll { voters });
-    }
-    roll.voters.iter().filter(|v| !heard(v.id)).find_map(|v| {
-        // The same address with another identity: that disk is lost.
-        let wiped = seen
+    let voters: Vec<&Voter> = prompter.roll().voters.iter().collect();
+    let mut lost: Vec<&Voter> = voters.iter().filter(|v| view.is_lost(v)).copied().collect();
+    // A new leader waits for word of all: who has not answered yet may well live.
+    if !lost.is_empty() && now.saturating_sub(prompter.led_since()) < patience.contact {
+        return None;
+    }
+    // The latest loss first.
+    lost.sort_by_key(|v| std::cmp::Reverse(view.lost_at(v)));
+    let care = Care {
+        cases: cases(&lost, |v| view.lost_at(v), losses),
+        newcomers: view.newcomers(),
+        later_now: spare_later(&voters, &lost, losses),
+        view,
+        losses,
+        voters,
+        lost,
+    };
+    let changes = care.removals().into_iter().chain(care.additions());
+    // Of equal ones the first: what is lost goes before newcomers come.
+    let best = changes.rev().max_by_key(|c| c.spare)?;
+    Some(Roll {
+        voters: best.voters.into_iter().cloned().collect(),
+    })
+}
+
+/// What the leader sees of the others.
+struct View<'a> {
+    prompter: &'a Prompter,
+    now: u64,
+    seen: &'a [Seen],
+    patience: Patience,
+}
+
+impl<'a> View<'a> {
+    fn in_contact(&self, v: &Voter) -> bool {
+        in_contact(self.prompter, v.id, self.now, self.patience.contact)
+    }
+
+    fn heard_at(&self, v: &Voter) -> u64 {
+        self.prompter.progress(v.id).map_or(0, |p| p.heard_at)
+    }
+
+    fn leaves(&self, v: &Voter) -> bool {
+        let progress = self.prompter.progress(v.id);
+        progress.is_some_and(Progress::was_leaving)
+    }
+
+    /// Whether the disk is lost: somebody else is at the same address.
+    fn is_wiped(&self, v: &Voter) -> bool {
+        self.seen
             .iter()
-            .any(|s| s.voter.address == v.address && s.voter.id != v.id);
-        let heard_at = prompter.progress(v.id).map_or(0, |p| p.heard_at);
-        let silent = now.saturating_sub(heard_at) > patience.gone;
-        let rest = Roll {
-            voters: roll.voters.iter().filter(|o| o.id != v.id).cloned().collect(),
+            .any(|s| s.voter.address == v.address && s.voter.id != v.id)
+    }
+
+    fn is_lost(&self, v: &Voter) -> bool {
+        !self.in_contact(v) || self.is_wiped(v) || self.leaves(v)
+    }
+
+    /// When a lost voter was lost, as far as that can be told: a wiped machine is back,
+    /// so its loss is the latest.
+    fn lost_at(&self, v: &Voter) -> u64 {
+        if self.is_wiped(v) {
+            u64::MAX
+        } else {
+            self.heard_at(v)
+        }
+    }
+
+    /// Machines without a vote that could have one.
+    fn newcomers(&self) -> Vec<&'a Voter> {
+        let seen = self.seen.iter().filter(|s| s.disk && s.alive);
+        seen.map(|s| &s.voter)
+            .filter(|v| !self.prompter.roll().has(v.id) && self.in_contact(v) && !self.leaves(v))
+            .filter(|v| is_caught_up(self.prompter, v.id))
+            .collect()
+    }
+}
+
+/// A change of the roll that could come next.
+struct Change<'a> {
+    voters: Vec<&'a Voter>,
+    /// What it leaves to spare once a fresh loss may come, and now.
+    spare: (i64, i64),
+}
+
+/// What the next change of the roll is chosen by.
+struct Care<'a> {
+    view: View<'a>,
+    losses: Losses,
+    voters: Vec<&'a Voter>,
+    /// Voters that are lost or leave, the latest first.
+    lost: Vec<&'a Voter>,
+    cases: Vec<Case<'a>>,
+    newcomers: Vec<&'a Voter>,
+    /// What the voters have to spare for a fresh loss.
+    later_now: i64,
+}
+
+impl<'a> Care<'a> {
+    fn spare(&self, voters: &[&Voter]) -> i64 {
+        let spares = self.cases.iter().map(|c| c.spare(voters, self.losses));
+        spares.min().unwrap_or(0)
+    }
+
+    fn spare_later(&self, voters: &[&Voter]) -> i64 {
+        spare_later(voters, &self.lost, self.losses)
+    }
+
+    /// Whether these voters bear what may come now, in each case in which they do today.
+    fn keeps(&self, after: &[&Voter]) -> bool {
+        self.cases.iter().all(|c| {
+            let now = c.spare(&self.voters, self.losses);
+            c.spare(after, self.losses) >= now.min(0)
+        })
+    }
+
+    fn without(&self, gone: &[&Voter]) -> Vec<&'a Voter> {
+        let stays = |v: &&Voter| gone.iter().all(|g| g.id != v.id);
+        self.voters.iter().copied().filter(stays).collect()
+    }
+
+    fn is_removable(&self, v: &Voter) -> bool {
+        let (view, patience) = (&self.view, self.view.patience);
+        let silent = view.now.saturating_sub(view.heard_at(v));
+        let joined_since = |o: &&Voter| {
+            let since = view.prompter.progress(o.id).and_then(|p| p.voter_since);
+            since.is_some_and(|at| at > view.heard_at(v))
         };
-        let up = rest.voters.iter().filter(|o| heard(o.id)).count();
-        ((wiped || silent) && up >= rest.majority() && bears(&rest, losses)).then_some(rest)
-    })
+        let replaced = !self.newcomers.is_empty() || self.voters.iter().any(joined_since);
+        let bound = match view.leaves(v) {
+            // Its vote goes to the newcomer while it is still there.
+            true if !self.newcomers.is_empty() => return true,
+            true => patience.left,
+            false if replaced && self.later_now < 0 => patience.left,
+            false => patience.gone,
+        };
+        view.is_wiped(v) && silent >= patience.contact || silent > bound
+    }
+
+    fn removals(&self) -> Vec<Change<'a>> {
+        let removable = |v: &&&Voter| self.is_removable(v);
+        let gone: Vec<&Voter> = self.lost.iter().filter(removable).copied().collect();
+        let later_all = self.spare_later(&self.without(&gone));
+        let mut changes = Vec::new();
+        for v in &gone {
+            let voters = self.without(&[v]);
+            let later = self.spare_later(&voters);
+            // Fewer voters are no use by themselves.
+            let serves = later > self.later_now || later_all >= 0 || !self.newcomers.is_empty();
+            let up = |o: &&&Voter| self.view.in_contact(o) && !self.view.is_wiped(o);
+            let goes_on = voters.iter().filter(up).count() >= majority(voters.len());
+            // What is removed is still lost until its successor counts.
+            if serves && goes_on && self.keeps(&voters) {
+                let others: Vec<&Voter> = self.lost.iter().filter(|o| o.id != v.id).copied().collect();
+                let spare = (later, spare(&voters, &others, self.losses));
+                changes.push(Change { voters, spare });
+            }
+        }
+        changes
+    }
+
+    fn additions(&self) -> Vec<Change<'a>> {
+        let with = |voters: &[&'a Voter], v: &'a Voter| -> Vec<&'a Voter> {
+            voters.iter().copied().chain([v]).collect()
+        };
+        let mut changes = Vec::new();
+        for v in &self.newcomers {
+            let voters = with(&self.voters, v);
+            let spare = (self.spare_later(&voters), self.spare(&voters));
+            let keeps = self.keeps(&voters) && spare.0 >= self.later_now.min(0);
+            // An even number of voters may bear less than the odd one before it: the
+            // next newcomer mends that. Too few bear nothing, and become more.
+            let mut others = self.newcomers.iter().filter(|o| o.id != v.id);
+            let mended = others.any(|o| self.spare(&with(&voters, o)) >= 0);
+            if keeps || self.lost.is_empty() && (mended || self.spare(&self.voters) < 0) {
+                changes.push(Change { voters, spare });
+            }
+        }
+        changes
+    }
+}
+
+/// Whether a node has on its disk nearly all that there is.
+fn is_caught_up(prompter: &Prompter, id: u64) -> bool {
+    let matched = prompter.progress(id).map_or(0, |p| p.matched);
+    matched > 0 && matched + NEARLY >= prompter.last_index()
 }
--- /dev/null
+++ b/crates/prompter/tests/roll_model.rs
@@ -0,0 +1,283 @@
+//! Every short history of losses, wipes, returns, swaps, restarts, leavings and orders
+//! over small clusters of the real state machine, each loss inside what may be lost.
+//! At every moment, and for every further loss that may still come, somebody who holds
+//! all that was acknowledged can be elected, and nobody who lacks any of it can.
+
+mod cluster;
+
+use cluster::*;
+use prompter::{bears, next_roll, Losses, Patience, Prompter, Roll, Seen};
+
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Step {
+    Order,
+    /// The disk is lost; the machine is back at once.
+    Wipe(usize),
+    WipeRegion(usize),
+    /// The power goes; the disk stays.
+    Power(usize),
+    /// All that are down come back.
+    Return,
+    /// The process ends and is back at once.
+    Restart(usize),
+    /// Gone for good, with a new machine in its region at another address.
+    Swap(usize),
+    /// Ends in order and is back.
+    LeaveAndReturn(usize),
+    /// Ends in order for good; a new machine comes in its region.
+    LeaveAndSwap(usize),
+    Wait(u64),
+}
+
+/// Whether a machine runs and has not been told to end.
+fn acts(me: &Cluster, i: usize) -> bool {
+    me.up(i) && me.machines[i].leaving.is_none()
+}
+
+/// Takes a step, if it may be taken now.
+fn take(me: &mut Cluster, step: Step) -> Result<bool, String> {
+    match step {
+        Step::Order => {
+            let leading = me.machines.iter_mut().filter_map(|m| m.life.as_mut());
+            let Some(leader) = leading.filter(|l| l.is_settled()).max_by_key(|l| l.term()) else {
+                return Ok(false);
+            };
+            let now = me.now;
+            let taken = leader.propose(vec![7]);
+            me.pending.extend(taken.map(|(index, term)| (index, term, now)));
+        }
+        Step::Wipe(i) if acts(me, i) && me.may_lose(&[i]) => {
+            me.end(i, true);
+            me.start(i);
+        }
+        Step::WipeRegion(region) => {
+            let all: Vec<usize> = (0..me.machines.len())
+                .filter(|i| me.machines[*i].region == region && !me.machines[*i].removed)
+                .collect();
+            if !me.may_lose(&all) || all.iter().any(|i| me.machines[*i].leaving.is_some()) {
+                return Ok(false);
+            }
+            for i in all {
+                me.end(i, true);
+                me.start(i);
+            }
+        }
+        Step::Power(i) if acts(me, i) && me.may_lose(&[i]) => me.end(i, false),
+        Step::Return => {
+            let down: Vec<usize> = (0..me.machines.len())
+                .filter(|i| {
+                    let m = &me.machines[*i];
+                    m.life.is_none() && !m.removed && m.back_at.is_none()
+                })
+                .collect();
+            if down.is_empty() {
+                return Ok(false);
+            }
+            for i in down {
+                me.start(i);
+            }
+        }
+        Step::Restart(i) if acts(me, i) && me.may_lose(&[i]) => {
+            me.end(i, false);
+            me.start(i);
+        }
+        Step::Swap(i) if acts(me, i) && me.may_lose(&[i]) => {
+            me.end(i, true);
+            me.machines[i].removed = true;
+            me.add(me.machines[i].region);
+        }
+        Step::LeaveAndReturn(i) if acts(me, i) && me.may_lose(&[i]) => me.leave(i, true),
+        Step::LeaveAndSwap(i) if acts(me, i) && me.may_lose(&[i]) => {
+            me.leave(i, false);
+            me.add(me.machines[i].region);
+        }
+        Step::Wait(ms) => {
+            for _ in 0..ms / STEP_MS {
+                me.tick();
+                me.check()?;
+            }
+            return Ok(true);
+        }
+        _ => return Ok(false),
+    }
+    for _ in 0..2 {
+        me.check()?;
+        me.tick();
+    }
+    me.check()?;
+    Ok(true)
+}
+
+/// What may come next. Machines of one region are alike but for the leader.
+fn steps(cluster: &Cluster) -> Vec<Step> {
+    let mut steps = vec![
+        Step::Order,
+        Step::Return,
+        Step::Wait(600),
+        Step::Wait(CATCH_UP_MS + 100),
+    ];
+    let leads = |m: &Machine| m.life.as_ref().is_some_and(Prompter::is_leader);
+    let leader = cluster.machines.iter().position(leads).unwrap_or(0);
+    let home = cluster.machines[leader].region;
+    let there = |i: &usize| !cluster.machines[*i].removed;
+    let all: Vec<usize> = (0..cluster.machines.len()).filter(there).collect();
+    let mate = all
+        .iter()
+        .find(|i| cluster.machines[**i].region == home && **i != leader);
+    let other = all.iter().find(|i| cluster.machines[**i].region != home);
+    for i in [Some(&leader), mate, other].into_iter().flatten() {
+        steps.extend([Step::Wipe(*i), Step::Power(*i), Step::Restart(*i), Step::Swap(*i)]);
+        steps.extend([Step::LeaveAndReturn(*i), Step::LeaveAndSwap(*i)]);
+    }
+    steps.extend([Step::WipeRegion(home), Step::WipeRegion((home + 1) % 3)]);
+    steps
+}
+
+/// What was played: histories, changes of the roll and acknowledgements at their ends.
+#[derive(Clone, Copy, Debug, Default)]
+struct Played {
+    histories: usize,
+    changes: usize,
+    acked: usize,
+}
+
+/// Plays all that can follow.
+fn explore(cluster: &Cluster, depth: usize, taken: &mut Vec<Step>) -> Result<Played, String> {
+    if depth == 0 {
+        // Now and then: all come back, and all vote again.
+        if taken.iter().filter(|s| matches!(s, Step::Wait(_))).count() > 1 {
+            recovers(cluster).map_err(|e| format!("{taken:?}: {e}"))?;
+        }
+        return Ok(Played {
+            histories: 1,
+            changes: cluster.changes,
+            acked: cluster.acked.len(),
+        });
+    }
+    let mut played = Played::default();
+    for step in steps(cluster) {
+        let mut next = cluster.clone();
+        taken.push(step);
+        match take(&mut next, step) {
+            Ok(true) => {
+                let more = explore(&next, depth - 1, taken)?;
+                played.histories += more.histories;
+                played.changes += more.changes;
+                played.acked += more.acked;
+            }
+            Ok(false) => {}
+            Err(e) => return Err(format!("{taken:?}: {e}")),
+        }
+        taken.pop();
+    }
+    Ok(played)
+}
+
+/// All that are down come back; after a while all machines vote, and only they.
+fn recovers(cluster: &Cluster) -> Result<(), String> {
+    let mut after = cluster.clone();
+    take(&mut after, Step::Return)?;
+    after.run(2 * PATIENCE.gone + CATCH_UP_MS);
+    let mut there: Vec<u64> = after
+        .machines
+        .iter()
+        .filter(|m| !m.removed)
+        .map(|m| m.id)
+        .collect();
+    let leader = after.leader().ok_or("nobody leads")?;
+    let mut voters: Vec<u64> = leader.roll().voters.iter().map(|v| v.id).collect();
+    voters.sort_unstable();
+    there.sort_unstable();
+    if voters == there {
+        return Ok(());
+    }
+    Err(format!("{there:?} are there, {voters:?} vote"))
+}
+
+fn explored(regions: &[usize], depth: usize, next_roll: NextRoll) -> Result<Played, String> {
+    // For a long search: steps beyond the usual ones.
+    let deeper = std::env::var("ROLL_MODEL_DEEPER")
+        .ok()
+        .and_then(|d| d.parse().ok());
+    let mut cluster = Cluster::new(regions, next_roll);
+    cluster.changes = 0;
+    explore(&cluster, depth + deeper.unwrap_or(0), &mut Vec::new())
+}
+
+fn all_is_well(regions: &[usize], depth: usize, histories: usize) {
+    let played = explored(regions, depth, next_roll).unwrap_or_else(|e| panic!("{e}"));
+    println!("{regions:?}: {played:?}");
+    assert!(played.histories > histories && played.changes > histories / 2 && played.acked > histories / 8);
+}
+
+#[test]
+fn three_voters() {
+    all_is_well(&[0, 1, 2], 4, 3000);
+}
+
+#[test]
+fn five_voters() {
+    all_is_well(&[0, 0, 1, 1, 2], 3, 1000);
+}
+
+#[test]
+fn six_voters() {
+    all_is_well(&[0, 0, 1, 1, 2, 2], 3, 1000);
+}
+
+#[test]
+fn seven_voters() {
+    all_is_well(&[0, 0, 0, 1, 1, 2, 2], 3, 1000);
+}
+
+#[test]
+fn nine_voters() {
+    all_is_well(&[0, 0, 0, 1, 1, 1, 2, 2, 2], 3, 1000);
+}
+
+/// The care for the roll as it was: newcomers first, and the dead counted with the rest.
+fn counting_the_dead(
+    prompter: &Prompter,
+    now: u64,
+    seen: &[Seen],
+    losses: Losses,
+    patience: Patience,
+) -> Option<Roll> {
+    if !prompter.is_settled() || prompter.roll_pending() {
+        return None;
+    }
+    let roll = prompter.roll();
+    let heard_at = |id: u64| prompter.progress(id).map_or(0, |p| p.heard_at);
+    let heard = |id: u64| id == prompter.id() || now.saturating_sub(heard_at(id)) < patience.contact;
+    let matched = |id: u64| prompter.progress(id).map_or(0, |p| p.matched);
+    let newcomer = seen.iter().find(|s| {
+        let caught_up = matched(s.voter.id) > 0 && matched(s.voter.id) + 8 >= prompter.last_index();
+        s.disk && s.alive && !roll.has(s.voter.id) && heard(s.voter.id) && caught_up
+    });
+    if let Some(s) = newcomer {
+        let mut voters = roll.voters.clone();
+        voters.push(s.voter.clone());
+        return Some(Roll { voters });
+    }
+    roll.voters.iter().filter(|v| !heard(v.id)).find_map(|v| {
+        let wiped = seen
+            .iter()
+            .any(|s| s.voter.address == v.address && s.voter.id != v.id);
+        let silent = now.saturating_sub(heard_at(v.id)) > patience.gone;
+        let rest = Roll {
+            voters: roll.voters.iter().filter(|o| o.id != v.id).cloned().collect(),
+        };
+        let up = rest.voters.iter().filter(|o| heard(o.id)).count();
+        ((wiped || silent) && up >= rest.majority() && bears(&rest, losses)).then_some(rest)
+    })
+}
+
+#[test]
+fn counting_the_dead_is_found() {
+    for regions in [&[0, 1, 2][..], &[0, 0, 1, 1, 2, 2], &[0, 0, 0, 1, 1, 2, 2]] {
+        let found = explored(regions, 4, counting_the_dead);
+        let what = found.expect_err("the model must find it");
+        println!("{what}");
+        assert!(what.contains("nobody can be elected"), "{what}");
+    }
+}
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -413,6 +413,7 @@
             let patience = Patience {
                 contact: c::CONTACT_MS,
                 gone: c::VOTER_GONE_MS,
+                left: c::VOTER_LEFT_MS,
             };
             if let Some(roll) = next_roll(&life.prompter, now, &others, LOSSES, patience) {
                 life.prompter.propose_roll(roll);
