Leaving: a voter stays until the others go on with all that it holds

Cause: on SIGTERM a process handed leadership on once and ended by the clock alone, also if it was one of too few that held what was acknowledged; nobody knew that it had left, and its vote stood for 5 s of silence. A change of the roll was followed by the next only at the next look around, up to 0.3 s later.

Change: until it ends the process says every 0.2 s that it leaves (hands over, if it leads), and ends after half of the grace period only once the leader has said that the others are a majority that holds all that is committed; at 0.9 of the grace period it ends in any case and logs event=left_too_few. The next change of the roll is chosen as soon as the one before is committed. Scenarios can tell a node to end.

Ruled out: removing a leaver at once (each restart would cost two changes of the roll); a list of leavers in the log (a write for each restart); a longer word at the very end (the silence says it).

--- a/crates/playhouse/src/conductor/mod.rs
+++ b/crates/playhouse/src/conductor/mod.rs
@@ -115,6 +115,7 @@
         mended: false,
         in_trouble: false,
         in_contact: true,
+        roll_under_way: false,
         role: Role::Follower,
         following: Following::default(),
         introduced: HashMap::new(),
@@ -144,10 +145,11 @@
 #[rtype(result = "Option<u64>")]
 pub struct Lease;
 
-/// Passes leadership on: this node is about to end.
+/// This node is about to end: leadership is passed on, and the others are told. The
+/// answer says whether they go on with all that this node holds; asked until they do.
 #[derive(Message)]
-#[rtype(result = "()")]
-pub struct HandOver;
+#[rtype(result = "bool")]
+pub struct Leave;
 
 /// What waits for a write: its number, messages, and the last entry and its term.
 type Held = (u64, Vec<(u64, Cue)>, (u64, u64));
@@ -198,6 +200,8 @@
     in_trouble: bool,
     /// Whether the core was heard of lately, as the log was last told.
     in_contact: bool,
+    /// A change of the roll is on its way.
+    roll_under_way: bool,
     role: Role,
     /// Which voter this node follows, if it has no disk.
     following: Following,
@@ -307,7 +311,7 @@
                     let _ = reader.send(good);
                 }
             }
-            if idle {
+            if idle && !self.tend_on() {
                 break;
             }
         }
@@ -503,12 +507,10 @@
     }
 }
 
-impl Handler<HandOver> for Conductor {
-    type Result = ();
-    fn handle(&mut self, _: HandOver, _: &mut Self::Context) {
-        self.prompter.hand_over();
-        self.say();
-        self.flush();
+impl Handler<Leave> for Conductor {
+    type Result = bool;
+    fn handle(&mut self, _: Leave, _: &mut Self::Context) -> bool {
+        self.leave()
     }
 }
 
--- a/crates/playhouse/src/conductor/tending.rs
+++ b/crates/playhouse/src/conductor/tending.rs
@@ -189,15 +189,33 @@
             left: c::VOTER_LEFT_MS,
         };
         if let Some(roll) = next_roll(&self.prompter, now, &seen, self.losses(), patience) {
-            log::info!(
-                "event=roll voters={} before={}",
-                roll.voters.len(),
-                self.prompter.roll().voters.len()
-            );
+            let before = self.prompter.roll().voters.len();
+            log::info!("event=roll voters={} before={before}", roll.voters.len());
             self.prompter.propose_roll(roll);
         }
     }
 
+    /// Once a change of the roll is committed the next one need not wait for its turn.
+    /// `true` if there is one.
+    pub(super) fn tend_on(&mut self) -> bool {
+        let under_way = self.prompter.is_leader() && self.prompter.roll_pending();
+        let done = std::mem::replace(&mut self.roll_under_way, under_way) && !under_way;
+        if done && self.prompter.is_settled() {
+            self.tend_roll(self.house.now());
+            self.roll_under_way = self.prompter.roll_pending();
+        }
+        done && self.roll_under_way
+    }
+
+    /// Tells the others that this process is about to end; whether they go on without
+    /// it. Without a vote, or with nobody to hand anything to, nothing is to be waited for.
+    pub(super) fn leave(&mut self) -> bool {
+        self.prompter.leave(self.house.now());
+        self.say();
+        self.flush();
+        self.vault.is_none() || self.prompter.roll().voters.len() < 2 || self.prompter.may_end()
+    }
+
     /// What may be lost at the same time.
     pub(super) fn losses(&self) -> Losses {
         let t = self.house.settings.get().terms.tolerance;
--- a/crates/playhouse/src/leaving.rs
+++ b/crates/playhouse/src/leaving.rs
@@ -1,7 +1,7 @@
 //! Ends in order on SIGTERM; reads the settings again on SIGHUP, or when the
 //! file has changed without one.
 
-use crate::conductor::{Conductor, HandOver};
+use crate::conductor::{Conductor, Leave};
 use crate::front::Front;
 use crate::kernel::{House, Plugin};
 use actix::prelude::*;
@@ -77,19 +77,24 @@
 }
 
 /// Not ready, out of the directory, leadership passed on, and then whatever
-/// runs may end within the grace period.
+/// runs may end within the grace period. A voter stays, as long as there is time,
+/// until the others go on with all that it holds.
 async fn leave(house: &Rc<House>) {
     log::info!("event=leaving");
     house.leaving.set(true);
-    if let Some(conductor) = house.get::<Addr<Conductor>>() {
-        let _ = conductor.send(HandOver).await;
-    }
+    let conductor = house.get::<Addr<Conductor>>();
     let grace = house.settings.get().terms.bounds.grace_period.0;
     let begun = house.now();
     let mut quiet_since = begun;
+    let (mut may_end, mut told_at) = (conductor.is_none(), None);
     loop {
-        actix_rt::time::sleep(Duration::from_millis(50)).await;
         let now = house.now();
+        if let Some(conductor) = &conductor {
+            if told_at.is_none_or(|at| now - at >= c::LEAVE_EVERY_MS) {
+                told_at = Some(now);
+                may_end = conductor.send(Leave).await.unwrap_or(true);
+            }
+        }
         if house.get::<Rc<Front>>().is_some_and(|f| f.running() > 0) {
             quiet_since = now;
         }
@@ -99,10 +104,16 @@
         house.closing.set(gone > grace * 7 / 10);
         // Clients leave within the life of an answer; who still comes after
         // that is served as long as there is time.
-        let settled = gone > grace / 2 && now - quiet_since > c::LEAVE_QUIET_MS;
+        let settled = gone > grace / 2 && now - quiet_since > c::LEAVE_QUIET_MS && may_end;
         if settled || gone > grace * 9 / 10 {
+            if !may_end {
+                log::warn!(
+                    "event=left_too_few what=\"the other voters in contact are no majority that holds all that is committed: keep this disk, or bring this process back\""
+                );
+            }
             log::info!("event=left after_ms={gone}");
             return;
         }
+        actix_rt::time::sleep(Duration::from_millis(50)).await;
     }
 }
--- a/crates/rehearsal/src/node.rs
+++ b/crates/rehearsal/src/node.rs
@@ -44,6 +44,8 @@
     waiting: VecDeque<Held>,
     pub orders: Vec<Pending>,
     pub following: Following,
+    /// It has been told to end.
+    pub leaving: bool,
 }
 
 impl Life {
@@ -122,6 +124,7 @@
             waiting: VecDeque::new(),
             orders: Vec::new(),
             following: Following::default(),
+            leaving: false,
         });
     }
 
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -9,6 +9,7 @@
 //! try two 0 4                the same, but nobody may be able to take it
 //! orders 3 40                one version after the other, from 3 to 40
 //! kill a | power a | wipe a | start a | newcomer g/r2     ("leader" names who leads)
+//! leave a                                              told to end, until `kill a`
 //! cut a b | oneway a b | isolate a | mend                  (oneway: a's words don't reach b)
 //! slow a 500 | stuck a | well a                            disks
 //! drain w1 | gone w1 | dark w1 | mute w1 | worker w9
@@ -19,6 +20,7 @@
 //! expect all-current | voter-bytes N | node-bytes N        at the most, a second
 //! lag 1200                   calls to workers take up to so much longer
 //! expect covered             every key is held by a worker that is up and stays
+//! expect may-end a | stays a                           a was told to end: whether it may
 //! expect voters N | not-voter ADDRESS | holds w1 yes|no | another-leader | leaving w1
 //! ```
 
@@ -144,6 +146,11 @@
                 let name = self.named(rest[0])?;
                 self.machine(words[0], &name, rest)?;
             }
+            "leave" => {
+                let name = self.named(rest[0])?;
+                let life = self.world.nodes.get_mut(&name).and_then(|n| n.life.as_mut());
+                life.ok_or("it is down")?.leaving = true;
+            }
             "cut" | "oneway" => {
                 let (a, b) = (self.named(rest[0])?, self.named(rest[1])?);
                 self.world.cuts.insert((a.clone(), b.clone()));
@@ -318,6 +325,15 @@
                     .ok_or("nobody leads")?;
                 leader.prompter.roll().voters.len() as u64 == number(words.get(1))?
             }
+            "may-end" | "stays" => {
+                let name = if words[1] == "led" {
+                    &self.last_leader
+                } else {
+                    words[1]
+                };
+                let life = world.nodes.get(name).and_then(|n| n.life.as_ref());
+                life.ok_or("it is down")?.prompter.may_end() == (words[0] == "may-end")
+            }
             "holds" => {
                 let w = world.workers.get(words[1]).ok_or("no such worker")?;
                 (w.holds(world.now).next().is_some()) == (words[2] == "yes")
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -203,6 +203,9 @@
         };
         if let Some(life) = &mut node.life {
             life.prompter.tick(now);
+            if life.leaving && now % c::LEAVE_EVERY_MS == 1 {
+                life.prompter.leave(now);
+            }
         }
         let did = node.flush(now);
         for (to, cue) in did.sent {
