An acknowledgement rests on copies, for every kind of order

Cause: whether the voters bear Tolerance was asked once, before an order was proposed, of a roll that counts the dead.

Change: before 200 the leader asks bears_loss of the order's own index (distinct disks, losses under way counted inside Tolerance), every 10 ms up to 0.9 s, then 503 with no clear answer; also for what is confirmed again.

Ruled out: asking before the proposal only (what the roll bears changes meanwhile).

--- a/crates/playhouse/src/conductor/orders.rs
+++ b/crates/playhouse/src/conductor/orders.rs
@@ -7,7 +7,7 @@
 use playbill::ledger::key_of;
 use playbill::letters::*;
 use playbill::stage::{encode_order, Judgement, Outcome};
-use prompter::bears;
+use prompter::{bears, bears_loss};
 use rand::seq::SliceRandom;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -21,6 +21,9 @@
 /// Nodes named by a node out of contact, nodes.
 const NAMED: usize = 3;
 
+/// Pause between two looks at how firmly an order stands, ms.
+const ACK_EVERY_MS: u64 = 10;
+
 /// What a change came to, and its index in the log.
 pub(super) type Settled = Option<(Outcome, u64)>;
 
@@ -229,7 +232,14 @@
     }
     match judged {
         Ok(Some(Ok(Judgement::Log))) => settle(conductor, ChangeKind::Replace(order), None).await,
-        Ok(Some(Ok(Judgement::Final(outcome)))) => refused(&outcome).unwrap_or_else(|| answer(200, "{}")),
+        Ok(Some(Ok(Judgement::Final(outcome)))) => match refused(&outcome) {
+            Some(answer) => answer,
+            // Taken before: it stands at or below what is committed.
+            None => match conductor.send(Committed).await {
+                Ok(index) => acknowledge(&conductor, index).await,
+                Err(_) => refusal(503, "ending"),
+            },
+        },
         Ok(Some(Err(answer))) => answer,
         _ => answer(NOT_LEADER, ""),
     }
@@ -249,13 +259,61 @@
     if let Some(answer) = refused(&outcome) {
         return answer;
     }
-    for _ in 0..c::APPLY_WAIT_MS / 20 {
-        match conductor.send(Behind(index)).await {
-            Ok(true) => actix_rt::time::sleep(Duration::from_millis(20)).await,
-            _ => break,
+    acknowledge(&conductor, index).await
+}
+
+/// The acknowledgement of what stands at `index`: once it rests on copies that bear any
+/// loss inside `Tolerance`, and nodes in contact have applied it or have had their time.
+async fn acknowledge(conductor: &Addr<Conductor>, index: u64) -> ControlAnswer {
+    let mut waited = 0;
+    while waited < c::CALL_WAIT_MS {
+        match conductor.send(HowFirm(index)).await {
+            Ok(Stands::Yes) => return answer(200, "{}"),
+            Ok(Stands::Spreading) if waited >= c::APPLY_WAIT_MS => return answer(200, "{}"),
+            Ok(Stands::Spreading | Stands::TooFew) => {}
+            // The next leader has it, and tells whoever asks again.
+            Ok(Stands::Elsewhere) => return answer(NOT_LEADER, ""),
+            Err(_) => return refusal(503, "ending"),
         }
+        actix_rt::time::sleep(Duration::from_millis(ACK_EVERY_MS)).await;
+        waited += ACK_EVERY_MS;
+    }
+    refusal(
+        503,
+        "taken, but on too few disks yet to bear the losses of Tolerance",
+    )
+}
+
+/// How firmly what the log holds up to an index stands.
+enum Stands {
+    /// On copies that bear a loss, and applied by the nodes in contact.
+    Yes,
+    /// Not applied everywhere yet.
+    Spreading,
+    /// A loss inside `Tolerance` may take it, or the majority.
+    TooFew,
+    /// This node no longer leads.
+    Elsewhere,
+}
+
+#[derive(Message)]
+#[rtype(result = "Stands")]
+struct HowFirm(u64);
+
+impl Handler<HowFirm> for Conductor {
+    type Result = MessageResult<HowFirm>;
+    fn handle(&mut self, HowFirm(index): HowFirm, _: &mut Self::Context) -> Self::Result {
+        let now = self.house.now();
+        MessageResult(if !self.prompter.is_settled() {
+            Stands::Elsewhere
+        } else if !bears_loss(&self.prompter, index, now, self.losses(), c::CONTACT_MS) {
+            Stands::TooFew
+        } else if self.behind(index) > 0 {
+            Stands::Spreading
+        } else {
+            Stands::Yes
+        })
     }
-    answer(200, "{}")
 }
 
 /// Puts an order into the log; the answer at once if no order can be taken now.
@@ -362,6 +420,17 @@
     }
 }
 
+#[derive(Message)]
+#[rtype(result = "u64")]
+struct Committed;
+
+impl Handler<Committed> for Conductor {
+    type Result = u64;
+    fn handle(&mut self, _: Committed, _: &mut Self::Context) -> u64 {
+        self.prompter.commit()
+    }
+}
+
 /// Whether nodes in contact have not applied what the log says up to an index.
 #[derive(Message)]
 #[rtype(result = "bool")]
