The leader says that a like order came a moment ago; the log says if it repeats

Change: the leader only says that a like order came a moment ago; the log takes it for a repeat if the newest order judged on the subject is the same.

Ruled out: noting repeats in the ledger (they would push what counts out of it).

--- a/crates/playbill/src/ledger.rs
+++ b/crates/playbill/src/ledger.rs
@@ -128,11 +128,12 @@
 
     /// What is known of an order with a tag, and the index at which it was judged.
     pub fn order(&self, tag: &OrderTag) -> (Known, u64) {
-        // The leader named it by what it had applied; other orders may have come between.
+        // The leader says that a like order came a moment ago; whether it is still the one
+        // to go by where the entry stands, only the log can say.
         let repeats = (tag.again != 0).then(|| self.alike(tag)).flatten();
         let is_this = |o: &&JudgedOrder| {
             let same = |t: &OrderTag| (t.life, t.number) == (tag.life, tag.number);
-            o.tag.as_ref().is_some_and(same) || tag.again == o.index && repeats == Some(o.index)
+            o.tag.as_ref().is_some_and(same) || repeats == Some(o.index)
         };
         match self.orders.iter().find(is_this) {
             Some(o) if o.taken => (Known::Taken, o.index),
@@ -169,21 +170,22 @@
         (newest.taken && same(newest)).then_some(newest.index)
     }
 
-    /// The index of the order that a leader takes this one to repeat: of those under way in
-    /// its log (index and tag), which stand behind all that is applied, or else of those
-    /// remembered, if `recent` says of its index that it came a moment ago.
+    /// The index of a like order that came a moment ago, as the leader sees it: the newest
+    /// under way in its log (index and tag), or else the newest remembered, if `recent`
+    /// says so of its index. Orders that came between are for the log to see.
     pub fn repeated<'a>(
         &self,
         tag: &OrderTag,
         under_way: impl Iterator<Item = (u64, &'a OrderTag)>,
         recent: impl Fn(u64) -> bool,
     ) -> Option<u64> {
-        let on_it =
-            |(_, t): &(u64, &OrderTag)| t.subject == tag.subject && (t.digest == tag.digest || !tag.cautious);
-        match under_way.filter(on_it).max_by_key(|(index, _)| *index) {
-            Some((index, t)) => (t.digest == tag.digest).then_some(index),
-            None => self.alike(tag).filter(|index| recent(*index)),
-        }
+        let like = |t: &OrderTag| (t.subject, t.digest) == (tag.subject, tag.digest);
+        let in_log = under_way.filter(|(_, t)| like(t)).map(|(index, _)| index).max();
+        in_log.or_else(|| {
+            let of = |o: &&JudgedOrder| o.tag.as_ref().is_some_and(like);
+            let newest = self.orders.iter().rev().find(of)?;
+            (newest.taken && recent(newest.index)).then_some(newest.index)
+        })
     }
 
     /// The indexes of the orders with a tag that are remembered, ascending.
--- a/crates/playbill/src/letters.rs
+++ b/crates/playbill/src/letters.rs
@@ -369,7 +369,8 @@
     pub subject: u64,
     #[prost(fixed64, tag = "5")]
     pub digest: u64,
-    /// The index of the order that the leader takes this one to repeat; 0 for none.
+    /// The index of a like order that came a moment ago as the leader saw it; 0 for none.
+    /// Whether it is repeated is judged where the entry is applied.
     #[prost(uint64, tag = "6")]
     pub again: u64,
     /// To be carried out once too often is worse than once too few: it may repeat an
