A fleet of real processes on loopback, for trying faults

Cause: faults of the control side were played on simulated time only; one that users met (an order that was taken refused when it came again) was found on real processes.

Change: crate `understage`. Nodes on addresses of 127.0.0.0/8 with free ports alike on all, a stand-in for the platform, operators that resend as the protocol says, faults by signal (kill, SIGTERM, freeze, thaw) and by wiping disks, five scenarios, and a pure checker of what callers saw. `cargo run -p understage -- all`.

A guard process ends the fleet's process group and removes its folder when the starter is gone.

Left out: cuts and resets of links. On loopback these need privileges, and a relay would have to stand in for the addresses that nodes give each other; freezes take their place.

--- /dev/null
+++ b/crates/understage/src/lib.rs
@@ -0,0 +1,22 @@
+//! A small fleet of real `playhouse` processes on loopback addresses, with a
+//! stand-in for the platform, driven over the published HTTP and put to faults.
+//!
+//! Not used by the program itself. Each node has its own address in 127.0.0.0/8;
+//! all nodes have the same ports. Whatever is started is ended, and the folder of
+//! the fleet removed, also when this process is killed ([`guard`]).
+
+pub mod call;
+pub mod checker;
+pub mod fleet;
+pub mod guard;
+pub mod net;
+pub mod node;
+pub mod operator;
+pub mod orders;
+pub mod platform;
+pub mod program;
+pub mod scenarios;
+pub mod settings;
+
+/// What keeps a scenario from being played: no statement about the system.
+pub type NotPlayed = String;
--- /dev/null
+++ b/crates/understage/src/main.rs
@@ -0,0 +1,207 @@
+//! Plays faults with a fleet of real processes, or starts one to look at.
+
+use clap::{Parser, Subcommand};
+use std::path::{Path, PathBuf};
+use std::process::ExitCode;
+use std::time::Instant;
+use tokio::signal::unix::{signal, SignalKind};
+use understage::fleet::{Fleet, Plan};
+use understage::program;
+use understage::scenarios::{by_name, Pace, Scenario, Verdict, ALL};
+
+/// Exit codes.
+mod exit {
+    pub const BROKEN: u8 = 1;
+    pub const NOT_PLAYED: u8 = 3;
+    pub const INTERRUPTED: u8 = 130;
+}
+
+#[derive(Parser)]
+#[command(
+    name = "understage",
+    version,
+    about = "Plays faults with a small fleet of real playhouse processes on loopback addresses",
+    after_help = "Exit codes: 0 all rules held; 1 a rule was broken; 2 wrong usage; 3 a scenario could not be played; 130 interrupted."
+)]
+struct Cli {
+    #[command(subcommand)]
+    command: Command,
+    /// The program to start; the one beside this program if left out.
+    #[arg(long, global = true, value_name = "PATH")]
+    playhouse: Option<PathBuf>,
+    /// Shorter freezes and fewer changes.
+    #[arg(long, global = true)]
+    short: bool,
+    /// Leave the fleet's folder with its logs where it is.
+    #[arg(long, global = true)]
+    keep: bool,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// List the scenarios.
+    List,
+    /// Play all scenarios, one after the other.
+    All,
+    /// Play these scenarios.
+    Play {
+        #[arg(required = true, value_name = "SCENARIO")]
+        names: Vec<String>,
+    },
+    /// Start a fleet, print where each node listens, and wait.
+    Up {
+        /// Machines with a disk.
+        #[arg(default_value_t = 5, value_parser = clap::value_parser!(u8).range(1..=9))]
+        machines: u8,
+        /// Machines without one.
+        #[arg(long, default_value_t = 1, value_parser = clap::value_parser!(u8).range(0..=5))]
+        without_disk: u8,
+    },
+}
+
+fn main() -> ExitCode {
+    let cli = Cli::parse();
+    let chosen: Vec<&Scenario> = match &cli.command {
+        Command::List => {
+            for s in &ALL {
+                println!("{:14} {}", s.name, s.about);
+            }
+            return ExitCode::SUCCESS;
+        }
+        Command::All => ALL.iter().collect(),
+        Command::Play { names } => {
+            let found: Option<Vec<&Scenario>> = names.iter().map(|n| by_name(n)).collect();
+            let Some(found) = found else {
+                eprintln!("understage: no such scenario; `list` names them");
+                return ExitCode::from(2);
+            };
+            found
+        }
+        Command::Up { .. } => Vec::new(),
+    };
+    let program = match cli.playhouse.clone().map_or_else(program::find, Ok) {
+        Ok(program) => program,
+        Err(e) => {
+            eprintln!("understage: {e}");
+            return ExitCode::from(exit::NOT_PLAYED);
+        }
+    };
+    actix_rt::System::new().block_on(async {
+        tokio::select! {
+            // What was started ends with the future that owns it.
+            () = interrupted() => {
+                eprintln!("understage: interrupted; the fleet is ended");
+                ExitCode::from(exit::INTERRUPTED)
+            }
+            code = work(&cli, &chosen, &program) => code,
+        }
+    })
+}
+
+async fn interrupted() {
+    let kinds = [
+        SignalKind::interrupt(),
+        SignalKind::terminate(),
+        SignalKind::hangup(),
+    ];
+    let mut signals: Vec<_> = kinds.into_iter().filter_map(|k| signal(k).ok()).collect();
+    let waits = signals.iter_mut().map(|s| Box::pin(s.recv()));
+    futures_util::future::select_all(waits).await;
+}
+
+async fn work(cli: &Cli, chosen: &[&Scenario], program: &Path) -> ExitCode {
+    if let Command::Up {
+        machines,
+        without_disk,
+    } = cli.command
+    {
+        return up(program, machines, without_disk, cli.keep).await;
+    }
+    let pace = if cli.short { Pace::Short } else { Pace::Full };
+    let mut code = 0;
+    let mut lines = Vec::new();
+    let all = Instant::now();
+    for scenario in chosen {
+        println!("{}: {}", scenario.name, scenario.about);
+        let begun = Instant::now();
+        let verdict = scenario.play(program, pace, cli.keep).await;
+        let (word, worse) = match &verdict {
+            Verdict::Held => ("held".to_string(), 0),
+            Verdict::Broken(faults) => (format!("BROKEN, {} times", faults.len()), exit::BROKEN),
+            Verdict::NotPlayed(why) => (format!("NOT PLAYED: {why}"), exit::NOT_PLAYED),
+        };
+        if let Verdict::Broken(faults) = &verdict {
+            show(faults);
+        }
+        let line = format!(
+            "{:14} {:5.1} s  {word}",
+            scenario.name,
+            begun.elapsed().as_secs_f32()
+        );
+        println!("{line}\n");
+        lines.push(line);
+        if code != exit::BROKEN && worse != 0 {
+            code = worse;
+        }
+    }
+    println!(
+        "{}\nin all {:.1} s",
+        lines.join("\n"),
+        all.elapsed().as_secs_f32()
+    );
+    ExitCode::from(code)
+}
+
+/// Faults printed of each scenario, lines.
+const SHOWN: usize = 12;
+
+fn show(faults: &[String]) {
+    for fault in faults.iter().take(SHOWN) {
+        println!("  - {fault}");
+    }
+    if faults.len() > SHOWN {
+        println!("  - and {} more", faults.len() - SHOWN);
+    }
+}
+
+async fn up(program: &Path, with_disk: u8, without_disk: u8, keep: bool) -> ExitCode {
+    let plan = Plan {
+        with_disk,
+        without_disk,
+    };
+    let mut fleet = match Fleet::start(program, plan) {
+        Ok(fleet) => fleet,
+        Err(e) => {
+            eprintln!("understage: {e}");
+            return ExitCode::from(exit::NOT_PLAYED);
+        }
+    };
+    if keep {
+        fleet.keep();
+    }
+    println!(
+        "folder {}  platform {}  process group {}",
+        fleet.folder().display(),
+        fleet.net().platform(),
+        fleet.group()
+    );
+    for node in &fleet.nodes {
+        let (net, n) = (fleet.net(), node.number);
+        println!(
+            "{:14} control {}  front {}  readiness {}  directory {}  {}",
+            node.name(),
+            net.control(n),
+            net.front(n),
+            net.readiness(n),
+            net.directory(n),
+            if node.has_disk { "disk" } else { "no disk" }
+        );
+    }
+    println!("until interrupted");
+    loop {
+        actix_rt::time::sleep(std::time::Duration::from_secs(1)).await;
+        for ended in fleet.ended_by_themselves() {
+            println!("{ended}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/understage/src/scenarios/many_changes.rs
@@ -0,0 +1,124 @@
+//! Hundreds of changes of real size past a member that is down; it returns, and
+//! then all are killed and started.
+
+use super::{Pace, Run, CLEAR_S};
+use crate::orders;
+use crate::NotPlayed;
+use std::path::Path;
+use std::time::{Duration, Instant};
+
+/// Changes and routes of each.
+const CHANGES: usize = 250;
+const ROUTES: usize = 300;
+const SHORT_CHANGES: usize = 30;
+/// What the settings grant after a loss of all, s.
+const RECOVERY_S: u64 = 15;
+/// The disk that the settings give, bytes.
+const DISK_BYTES: u64 = 64 * 1024 * 1024;
+
+pub async fn play(run: &mut Run) -> Result<(), NotPlayed> {
+    run.open().await?;
+    let leader = run.fleet.wait_for_leader(Duration::from_secs(CLEAR_S)).await?;
+    let down = (1..=5).find(|n| *n != leader).unwrap_or(1);
+    run.change(ROUTES).await?;
+    // Nodes without a disk report late: with them down as well, changes go faster.
+    let mut absent: Vec<u8> = vec![down];
+    absent.extend(run.fleet.nodes.iter().filter(|n| !n.has_disk).map(|n| n.number));
+    for number in &absent {
+        run.fleet.node(*number)?.kill();
+    }
+    run.say(format!("nodes {absent:?} are killed at version {}", run.current));
+    let count = match run.pace {
+        Pace::Short => SHORT_CHANGES,
+        Pace::Full => CHANGES,
+    };
+    many(run, count).await?;
+    for number in absent {
+        catch_up(run, number).await?;
+    }
+    for _ in 0..3 {
+        run.change(ROUTES).await?;
+    }
+    restart_all(run).await?;
+    run.read_back().await;
+    run.change(ROUTES).await?;
+    run.read_back().await;
+    disks(run);
+    Ok(())
+}
+
+async fn many(run: &mut Run, count: usize) -> Result<(), NotPlayed> {
+    let begun = Instant::now();
+    let mut took = Vec::with_capacity(count);
+    for _ in 0..count {
+        took.push(run.change(ROUTES).await?);
+    }
+    took.sort_unstable();
+    run.say(format!(
+        "{count} changes of {ROUTES} routes in {:.1} s; each {} ms in the middle, {} ms at the most",
+        begun.elapsed().as_secs_f32(),
+        took[took.len() / 2],
+        took.last().unwrap_or(&0)
+    ));
+    Ok(())
+}
+
+async fn catch_up(run: &mut Run, down: u8) -> Result<(), NotPlayed> {
+    let path = orders::path_of(run.current, "a");
+    run.fleet.restart(down)?;
+    match run.wait_for_route(down, &path, Duration::from_secs(20)).await {
+        Ok(ms) => run.say(format!(
+            "node {down} is back and serves version {} after {ms} ms",
+            run.current
+        )),
+        Err(e) => run.broken(e),
+    }
+    Ok(())
+}
+
+async fn restart_all(run: &mut Run) -> Result<(), NotPlayed> {
+    let path = orders::path_of(run.current, "a");
+    let all: Vec<u8> = run.fleet.nodes.iter().map(|n| n.number).collect();
+    for number in &all {
+        run.fleet.node(*number)?.kill();
+    }
+    run.say(format!(
+        "all {} nodes are killed at version {}",
+        all.len(),
+        run.current
+    ));
+    for number in &all {
+        run.fleet.restart(*number)?;
+    }
+    let begun = Instant::now();
+    let leader = run.fleet.wait_for_leader(Duration::from_secs(RECOVERY_S)).await?;
+    let led = begun.elapsed().as_millis();
+    for number in &all {
+        let left = Duration::from_secs(RECOVERY_S).saturating_sub(begun.elapsed());
+        if let Err(e) = run.wait_for_route(*number, &path, left).await {
+            run.broken(format!("after the restart of all: {e}"));
+        }
+    }
+    run.say(format!(
+        "all are started: node {leader} leads after {led} ms, all serve after {} ms",
+        begun.elapsed().as_millis()
+    ));
+    Ok(())
+}
+
+fn disks(run: &mut Run) {
+    let mut largest = 0;
+    for number in 1..=5 {
+        let disk = run.fleet.node(number).ok().and_then(|n| n.disk());
+        largest = largest.max(disk.map_or(0, |d| bytes_in(&d)));
+    }
+    run.say(format!("the largest disk holds {} kB", largest / 1024));
+    if largest > DISK_BYTES {
+        run.broken(format!("a disk holds {largest} bytes of {DISK_BYTES}"));
+    }
+}
+
+fn bytes_in(folder: &Path) -> u64 {
+    let files = std::fs::read_dir(folder).into_iter().flatten().flatten();
+    files.filter_map(|f| f.metadata().ok()).map(|m| m.len()).sum()
+}
--- /dev/null
+++ b/crates/understage/src/settings.rs
@@ -0,0 +1,131 @@
+//! Settings files, as the platform writes them.
+
+use crate::net::Net;
+use std::fmt::Write as _;
+use std::net::SocketAddrV4;
+use std::path::Path;
+
+/// Regions of the fleet; each machine stands in a zone of its own, and the zones
+/// are dealt out to them.
+const REGIONS: [&str; 3] = ["north", "south", "east"];
+/// Machines that a fleet may come to have.
+pub const MACHINES: u8 = 16;
+/// Zones in the settings; those beyond the machines are for orders only.
+pub const ZONES: u8 = 100;
+
+/// What is special to one machine.
+pub struct Machine<'a> {
+    /// Its number, from 1; it names the machine and gives its address.
+    pub number: u8,
+    /// The whole system starts for the first time.
+    pub initial: bool,
+    /// The folder of its disk, if it has one.
+    pub disk: Option<&'a Path>,
+}
+
+pub fn name(number: u8) -> String {
+    format!("edge-{}-1", zone(number))
+}
+
+pub fn zone(number: u8) -> String {
+    format!("{}-{}", region(number), number)
+}
+
+pub fn region(number: u8) -> &'static str {
+    REGIONS[usize::from(number) % REGIONS.len()]
+}
+
+/// The settings file (TOML) of a machine.
+pub fn write(net: &Net, seeds: &[SocketAddrV4], machine: &Machine<'_>) -> String {
+    let n = machine.number;
+    let [first, last] = net.internal_ports();
+    let seeds: Vec<String> = seeds.iter().map(|s| format!("\"{s}\"")).collect();
+    let mut text = format!(
+        r#"Grants = "invocation"
+[OwnEntity]
+NodeName = "{name}"
+Role = "playhouse"
+MachineClass = "edge"
+Serves = ["edge", "control", "directory"]
+IpAddress = "{ip}"
+Zone = "{zone}"
+Region = "{region}"
+LossCounted = {counted}
+InitialStart = {initial}
+"#,
+        name = name(n),
+        ip = net.ip(n),
+        zone = zone(n),
+        region = region(n),
+        counted = machine.disk.is_some(),
+        initial = machine.initial,
+    );
+    if let Some(folder) = machine.disk {
+        // Writing to a text cannot fail.
+        let _ = writeln!(text, "DataDirectory = {:?}", folder.display().to_string());
+    }
+    let _ = write!(
+        text,
+        r#"[OwnEntity.Limits]
+CpuFraction = 1.0
+CoreCount = 1
+MemoryMb = 260
+FileDescriptors = 4100
+LinkRateMbps = 1000.0
+DiskMb = 64
+[Network]
+InternalPorts = [{first}, {last}]
+SeedNodes = [{seeds}]
+[Network.ListenPoints]
+Front = "{front}"
+Readiness = "{readiness}"
+Control = "{control}"
+Directory = "{directory}"
+[Network.Zones]
+"#,
+        seeds = seeds.join(", "),
+        front = net.front(n),
+        readiness = net.readiness(n),
+        control = net.control(n),
+        directory = net.directory(n),
+    );
+    for number in 1..=ZONES {
+        let _ = writeln!(text, "{} = \"{}\"", zone(number), region(number));
+    }
+    let _ = write!(
+        text,
+        r#"[Platform]
+Discovery = "platform"
+Entry = "directory"
+BeatInterval = "1500ms"
+[Platform.CloudApi]
+Address = "{platform}"
+RatePerS = 45.0
+Duties = []
+Lag = "100ms"
+[Terms]
+Contracts = ["base", "drain", "config", "retry", "recover", "places", "own"]
+[Terms.Tolerance]
+Machines = 1
+Zones = 1
+Regions = 0
+[Terms.Bounds]
+SeedLag = "3s"
+Contact = "4000ms"
+Acknowledge = "6000ms"
+CatchUp = "4s"
+Drain = "2500ms"
+GracePeriod = "6s"
+ConfigApply = "2000ms"
+RevertSlack = "250ms"
+StretchMax = "8000ms"
+Evacuation = "5000ms"
+Recovery = "15s"
+HoldLimit = "10000ms"
+Thaw = "300ms"
+ttl_max = "5s"
+"#,
+        platform = net.platform(),
+    );
+    text
+}
