Two scenarios of the real fleet run with the tests

Cause: what the fleet of processes shows should be seen at every change.

Change: `cut-off` and `resend` at the short pace, as tests of `playhouse`, so that cargo hands them the program that was just built. The others rest on chance or take longer.

--- /dev/null
+++ b/crates/playhouse/tests/processes.rs
@@ -0,0 +1,22 @@
+//! Faults on real processes of this build: a part of what `understage` plays.
+
+use std::path::Path;
+use understage::scenarios::{by_name, Pace, Verdict};
+
+fn holds(name: &str) {
+    let scenario = by_name(name).expect("a scenario of this name");
+    let program = Path::new(env!("CARGO_BIN_EXE_playhouse"));
+    let played = scenario.play(program, Pace::Short, false);
+    let verdict = actix_rt::System::new().block_on(played);
+    assert!(matches!(verdict, Verdict::Held), "{name}: {verdict:#?}");
+}
+
+#[test]
+fn a_leader_that_was_frozen_goes_by_nothing_old() {
+    holds("cut-off");
+}
+
+#[test]
+fn an_order_that_was_taken_is_acknowledged_again_by_every_node() {
+    holds("resend");
+}
