Orders of all ages are sent again after hundreds of changes and a restart of all

Change: `many-changes` makes 280 changes and sends orders of 0 to 255 changes ago and the very first again, before and after all nodes are killed and started. A change that takes over a second is told. The crate says why links are neither cut nor reset.

--- a/crates/understage/src/lib.rs
+++ b/crates/understage/src/lib.rs
@@ -1,9 +1,13 @@
 //! A small fleet of real `playhouse` processes on loopback addresses, with a
 //! stand-in for the platform, driven over the published HTTP and put to faults.
 //!
-//! Not used by the program itself. Each node has its own address in 127.0.0.0/8;
-//! all nodes have the same ports. Whatever is started is ended, and the folder of
-//! the fleet removed, also when this process is killed ([`guard`]).
+//! Not used by the program itself. Each node has its own address in 127.0.0.0/8; all
+//! nodes have the same ports. Whatever is started is ended, and the folder of the fleet
+//! removed, also when this process is killed ([`guard`]).
+//!
+//! Links are not cut or reset: on loopback that needs privileges, and nodes know each
+//! other by the addresses that they listen on, so that no relay can stand between them.
+//! A node that is frozen takes the place of one that is cut off.
 
 pub mod call;
 pub mod checker;
--- a/crates/understage/src/scenarios/many_changes.rs
+++ b/crates/understage/src/scenarios/many_changes.rs
@@ -2,15 +2,19 @@
 //! then all are killed and started.
 
 use super::{Pace, Run, CLEAR_S};
+use crate::call::SILENCE_MS;
+use crate::checker::{Answer, Asked};
 use crate::orders;
 use crate::NotPlayed;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
 /// Changes and routes of each.
-const CHANGES: usize = 250;
+const CHANGES: usize = 280;
 const ROUTES: usize = 300;
 const SHORT_CHANGES: usize = 30;
+/// Orders that are sent again: so many changes have been made since.
+const AGES: [usize; 6] = [0, 1, 10, 100, 200, 255];
 /// What the settings grant after a loss of all, s.
 const RECOVERY_S: u64 = 15;
 /// The disk that the settings give, bytes.
@@ -39,8 +43,10 @@
     for _ in 0..3 {
         run.change(ROUTES).await?;
     }
+    send_again(run).await;
     restart_all(run).await?;
     run.read_back().await;
+    send_again(run).await;
     run.change(ROUTES).await?;
     run.read_back().await;
     disks(run);
@@ -51,7 +57,11 @@
     let begun = Instant::now();
     let mut took = Vec::with_capacity(count);
     for _ in 0..count {
-        took.push(run.change(ROUTES).await?);
+        let ms = run.change(ROUTES).await?;
+        if ms > SILENCE_MS {
+            run.say(format!("the change to version {} took {ms} ms", run.current));
+        }
+        took.push(ms);
     }
     took.sort_unstable();
     run.say(format!(
@@ -106,6 +116,26 @@
     Ok(())
 }
 
+/// Sends orders of all ages again, as they were, to some nodes: however long ago
+/// they were taken, none may be refused. The checker judges.
+async fn send_again(run: &mut Run) {
+    let orders = run.record.history().orders.len();
+    let ages: Vec<usize> = AGES.into_iter().filter(|age| *age < orders).collect();
+    let (mut good, mut refused, mut unclear) = (0, 0, 0);
+    for place in run.fleet.running().into_iter().step_by(3) {
+        for age in ages.iter().map(|age| orders - 1 - age).chain([0]) {
+            match run.operator.ask(Asked::Replace(age), place).await {
+                Answer::Good(_) => good += 1,
+                Answer::Refused(..) => refused += 1,
+                Answer::Unclear(_) => unclear += 1,
+            }
+        }
+    }
+    run.say(format!(
+        "orders of {ages:?} changes ago and the first sent again: {good} acknowledged, {refused} refused, {unclear} unclear"
+    ));
+}
+
 fn disks(run: &mut Run) {
     let mut largest = 0;
     for number in 1..=5 {
