A call to a worker that is given up resets its connection

Cause: a leader cut off with its region sends renewals in the last of its lease; the cut holds their bytes up.

Change: connections to workers are reset when dropped (SO_LINGER 0), so what has not been delivered never is. Those between nodes are closed as before.

Ruled out: a longer wait of a new leader (a cut has no bound); a time in the grant (the protocol has none).

Before: the new test fails, the peer reads an orderly end; after: a reset.

--- a/crates/playhouse/src/sockets.rs
+++ b/crates/playhouse/src/sockets.rs
@@ -32,11 +32,20 @@
 
 /// Connects to a peer within a time.
 pub async fn connect(address: &str, wait_ms: u64) -> io::Result<TcpStream> {
-    connect_for(address, wait_ms, u64::from(c::TCP_USER_TIMEOUT_MS)).await
+    open(address, wait_ms, u64::from(c::TCP_USER_TIMEOUT_MS)).await
 }
 
-/// Connects within a time, to somebody whose silence is borne for another.
+/// Connects within a time, to somebody whose silence is borne for another. What has not
+/// been delivered when the connection is dropped never will be: it is reset, not closed.
+/// Bytes that a cut holds up would else arrive when the link is back, long after the call
+/// was given up.
 pub async fn connect_for(address: &str, wait_ms: u64, silence_ms: u64) -> io::Result<TcpStream> {
+    let stream = open(address, wait_ms, silence_ms).await?;
+    SockRef::from(&stream).set_linger(Some(Duration::ZERO))?;
+    Ok(stream)
+}
+
+async fn open(address: &str, wait_ms: u64, silence_ms: u64) -> io::Result<TcpStream> {
     let address: SocketAddr = address
         .parse()
         .map_err(|_| io::Error::new(io::ErrorKind::InvalidInput, "no address"))?;
--- a/crates/playhouse/src/upstream/tests.rs
+++ b/crates/playhouse/src/upstream/tests.rs
@@ -86,3 +86,29 @@
         assert_eq!(upstream.idle.borrow()[&address].len(), left);
     }
 }
+
+/// What a cut holds up of a call that was given up must not arrive once the link is
+/// back: it is lost only if its connection is reset, not if it is closed.
+#[actix_rt::test]
+async fn a_call_that_is_given_up_resets_its_connection() {
+    let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("a port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let upstream = Upstream::new();
+    let call = Simple {
+        method: Method::POST,
+        address: &address,
+        path: "/grant",
+        worker: None,
+        body: Some(Bytes::from_static(b"{}")),
+        wait_ms: 60,
+        fresh: false,
+    };
+    let (peer, given_up) = tokio::join!(listener.accept(), simple(&upstream, call));
+    assert!(matches!(given_up, Err(Fault::Unclear)));
+    let (mut peer, _) = peer.expect("a connection");
+    let mut got = Vec::new();
+    let end = peer.read_to_end(&mut got).await;
+    assert!(end.is_err_and(|e| e.kind() == std::io::ErrorKind::ConnectionReset));
+}
