Agreement: the model of the roll cuts machines off as well

A machine that is cut off counts as lost until CatchUp after the mend, and goes on by itself meanwhile. Failed try: the first run took a machine wiped behind a cut for back; that was the model's fault.

--- a/crates/prompter/tests/cluster/mod.rs
+++ b/crates/prompter/tests/cluster/mod.rs
@@ -128,7 +128,8 @@
         }
         let saved = m.saved.clone();
         m.life = Some(Prompter::new(m.id, saved, TIMING, self.now, m.id));
-        m.lost_until = self.now + CATCH_UP_MS;
+        let cut = self.cuts.contains(&(i, i));
+        m.lost_until = if cut { u64::MAX } else { self.now + CATCH_UP_MS };
         (m.leaving, m.back_at) = (None, None);
     }
 
@@ -209,6 +210,23 @@
         self.machines[i].lost_until = u64::MAX;
     }
 
+    /// Cuts a machine off from all others.
+    pub fn cut_off(&mut self, i: usize) {
+        let all = 0..self.machines.len();
+        self.cuts.extend(all.flat_map(|j| [(i, j), (j, i)]));
+        self.machines[i].lost_until = u64::MAX;
+    }
+
+    /// Mends all links.
+    pub fn heal(&mut self) {
+        for (i, j) in std::mem::take(&mut self.cuts) {
+            let m = &mut self.machines[i];
+            if i != j && m.life.is_some() && m.lost_until == u64::MAX && m.leaving.is_none() {
+                m.lost_until = self.now + CATCH_UP_MS;
+            }
+        }
+    }
+
     pub fn run(&mut self, ms: u64) {
         for _ in 0..ms / STEP_MS {
             self.tick();
--- a/crates/prompter/tests/roll_model.rs
+++ b/crates/prompter/tests/roll_model.rs
@@ -18,7 +18,9 @@
     WipeRegion(usize),
     /// The power goes; the disk stays.
     Power(usize),
-    /// All that are down come back.
+    /// Cut off from all others, both ways.
+    Cut(usize),
+    /// All that are down or cut off come back.
     Return,
     /// The process ends and is back at once.
     Restart(usize),
@@ -72,13 +74,15 @@
                     m.life.is_none() && !m.removed && m.back_at.is_none()
                 })
                 .collect();
-            if down.is_empty() {
+            if down.is_empty() && me.cuts.is_empty() {
                 return Ok(false);
             }
+            me.heal();
             for i in down {
                 me.start(i);
             }
         }
+        Step::Cut(i) if acts(me, i) && me.may_lose(&[i]) => me.cut_off(i),
         Step::Restart(i) if acts(me, i) && me.may_lose(&[i]) => {
             me.end(i, false);
             me.start(i);
@@ -128,7 +132,13 @@
         .find(|i| cluster.machines[**i].region == home && **i != leader);
     let other = all.iter().find(|i| cluster.machines[**i].region != home);
     for i in [Some(&leader), mate, other].into_iter().flatten() {
-        steps.extend([Step::Wipe(*i), Step::Power(*i), Step::Restart(*i), Step::Swap(*i)]);
+        steps.extend([
+            Step::Wipe(*i),
+            Step::Power(*i),
+            Step::Cut(*i),
+            Step::Restart(*i),
+            Step::Swap(*i),
+        ]);
         steps.extend([Step::LeaveAndReturn(*i), Step::LeaveAndSwap(*i)]);
     }
     steps.extend([Step::WipeRegion(home), Step::WipeRegion((home + 1) % 3)]);
