Large messages of the agreement go in fragments; an unreadable state is refused in one place

Cause: a state or change that takes longer than its resend time on a narrow link was sent again behind itself until the link carried nothing else, and heartbeats waited behind it: on 2 Mbit/s a state of 1 MB never arrived while changes went on, a change of 1 MB deposed its leader for ever, a follower turned to another voter in the middle. A message above 16 MiB closed the connection. A log folded meanwhile made the next state necessary.

Change: prompter/fragment.rs: messages above 8 KB go in fragments, stop and wait for each peer, of a size that follows the time to the acknowledgement; while one is on its way another large one is dropped, an append without its entries. The follower counts fragments as word of its voter. Whether a state can be read is asked by the agreement before it is installed (set_readable), so that whole and fragmented ones go the same way; the check in the owners goes.

--- a/crates/playbill/src/stage.rs
+++ b/crates/playbill/src/stage.rs
@@ -497,6 +497,11 @@
         Ok(stage)
     }
 
+    /// Whether the data of a snapshot at an index can be read.
+    pub fn is_readable(index: u64, data: &[u8]) -> bool {
+        Stage::from_snapshot(index, data).is_ok()
+    }
+
     /// The state that an image holds; `None` if its configuration is unreadable.
     pub fn from_image(image: StageImage) -> Option<Stage> {
         let ledger = match image.ledger {
--- a/crates/playhouse/src/conductor/mod.rs
+++ b/crates/playhouse/src/conductor/mod.rs
@@ -80,7 +80,8 @@
         append_bytes: c::APPEND_BYTES,
         tail_bytes: c::LOG_TAIL_BYTES,
     };
-    let prompter = Prompter::new(identity.id, saved, timing, house.now(), rand::thread_rng().gen());
+    let mut prompter = Prompter::new(identity.id, saved, timing, house.now(), rand::thread_rng().gen());
+    prompter.set_readable(Stage::is_readable);
     let mut standing = Standing {
         id: identity.id,
         cluster: identity.cluster,
@@ -94,7 +95,6 @@
         house: house.clone(),
         prompter,
         stage,
-        arrived: None,
         vault,
         fresh,
         written: 0,
@@ -171,8 +171,6 @@
     house: Rc<House>,
     prompter: Prompter,
     stage: Stage,
-    /// The state of a snapshot that the agreement has just taken.
-    arrived: Option<Stage>,
     vault: Option<Vault>,
     /// Empty at the first start of the whole system.
     fresh: bool,
@@ -347,31 +345,24 @@
         }
     }
 
-    /// Takes a message of the agreement in. A snapshot that cannot be read is no
-    /// message: its sender sends another when this one has no answer.
+    /// Takes a message of the agreement in.
     fn receive(&mut self, now: u64, from: u64, cue: Cue) {
-        let newer = cue.snapshot.as_ref().filter(|s| s.index > self.stage.index);
-        let read = newer.map(|s| (s.index, Stage::from_snapshot(s.index, &s.data)));
-        if let Some((index, Err(e))) = &read {
-            self.house.counters.add("unreadable_snapshots");
-            log::error!("event=snapshot_unreadable from={from:x} index={index} why=\"{e}\"");
-            return;
-        }
-        let before = self.prompter.commit();
+        let before = self.prompter.unreadable();
         self.prompter.receive(now, from, cue);
-        if let Some((index, Ok(stage))) = read {
-            if before < index && self.prompter.commit() == index {
-                self.arrived = Some(stage);
-            }
+        if self.prompter.unreadable() > before {
+            self.house.counters.add("unreadable_snapshots");
+            log::error!("event=snapshot_unreadable from={from:x}");
         }
         self.flush();
     }
 
     fn install(&mut self, snapshot: &Snapshot) {
-        // It was read when it arrived.
-        if let Some(stage) = self.arrived.take().filter(|s| s.index == snapshot.index) {
-            self.stage = stage;
-            self.house.stage.set(self.stage.clone());
+        // The agreement takes none that cannot be read.
+        if let Ok(stage) = Stage::from_snapshot(snapshot.index, &snapshot.data) {
+            if stage.index > self.stage.index {
+                self.stage = stage;
+                self.house.stage.set(self.stage.clone());
+            }
         }
         self.prompter.applied(self.stage.index);
     }
--- a/crates/prompter/src/cue.rs
+++ b/crates/prompter/src/cue.rs
@@ -89,6 +89,10 @@
     Leaving = 9,
     /// The answer: whether the others go on with all that is committed.
     MayEnd = 10,
+    /// A part of a message that is too large for one frame.
+    Fragment = 11,
+    /// How much of such a message has arrived.
+    FragmentTaken = 12,
 }
 
 /// A message of the agreement.
@@ -126,4 +130,16 @@
     /// without a disk, or with an empty one, is somebody else.
     #[prost(fixed64, tag = "12")]
     pub to: u64,
+    /// Fragment, FragmentTaken: the number of the message, as its sender counts.
+    #[prost(fixed64, tag = "13")]
+    pub message: u64,
+    /// Fragment: where in the message it begins, bytes; FragmentTaken: how much of the
+    /// message is there.
+    #[prost(uint64, tag = "14")]
+    pub offset: u64,
+    /// Fragment: the size of the message, bytes.
+    #[prost(uint64, tag = "15")]
+    pub total: u64,
+    #[prost(bytes = "vec", tag = "16")]
+    pub fragment: Vec<u8>,
 }
--- a/crates/prompter/src/lib.rs
+++ b/crates/prompter/src/lib.rs
@@ -6,6 +6,7 @@
 //! out through [`Prompter::take_effects`].
 
 mod cue;
+mod fragment;
 mod losses;
 mod machine;
 mod near;
--- a/crates/prompter/src/machine.rs
+++ b/crates/prompter/src/machine.rs
@@ -1,6 +1,7 @@
 mod relay;
 
 use crate::cue::*;
+use crate::fragment::Fragments;
 use crate::progress::Progress;
 use crate::tend::may_end;
 use prost::Message;
@@ -126,6 +127,11 @@
     fed_leader: (u64, u64),
     /// Whom this node follows, if it does not vote.
     feed: relay::Feed,
+    fragments: Fragments,
+    /// Whether the data of a snapshot at an index can be read.
+    readable: fn(u64, &[u8]) -> bool,
+    /// Snapshots that could not.
+    unreadable: u64,
     out: Effects,
 }
 
@@ -173,8 +179,13 @@
             feed_beat_at: 0,
             fed_leader: (0, 0),
             feed: relay::Feed::default(),
+            fragments: Fragments::new(0, timing.resend, timing.follower_gone),
+            readable: |_, _| true,
+            unreadable: 0,
             out: Effects::default(),
         };
+        let first = SmallRng::seed_from_u64(seed ^ id).gen();
+        me.fragments = Fragments::new(first, timing.resend, timing.follower_gone);
         me.read_roll();
         // Before it ended, the node may have answered a round that a lease
         // rests on; once that must be over it may vote, and stand.
@@ -183,6 +194,17 @@
         me
     }
 
+    /// How to tell whether the data of a snapshot at an index can be read. One that
+    /// cannot is no message: nothing is installed, and it is sent again.
+    pub fn set_readable(&mut self, readable: fn(u64, &[u8]) -> bool) {
+        self.readable = readable;
+    }
+
+    /// How many snapshots arrived that could not be read.
+    pub fn unreadable(&self) -> u64 {
+        self.unreadable
+    }
+
     /// The first node of a new system writes down that it is the only voter.
     /// To be called on an empty node only.
     pub fn begin(&mut self, me: Voter) {
@@ -318,6 +340,12 @@
         for (to, cue) in out.now.iter_mut().chain(&mut out.after) {
             cue.to = *to;
         }
+        let whole = std::mem::take(&mut out.now).into_iter();
+        let sent = whole.filter_map(|(to, cue)| {
+            let cue = self.fragments.send(self.now, to, cue)?;
+            Some((to, Cue { to, ..cue }))
+        });
+        out.now = sent.collect();
         out
     }
 
@@ -348,12 +376,14 @@
             roll: Some(roll),
             data,
         };
-        // The youngest entries that are folded stay at hand.
+        // The youngest entries that are folded stay at hand, as many as cost no more
+        // to send than the snapshot: who was sent the one before needs just them.
+        let tail_bytes = self.timing.tail_bytes.max(self.snapshot.data.len());
         let folded = (index - self.base.0) as usize;
         let (mut kept, mut bytes) = (0, 0);
         for e in self.log.iter().take(folded).rev() {
             bytes += e.data.len();
-            if bytes > self.timing.tail_bytes {
+            if bytes > tail_bytes {
                 break;
             }
             kept += 1;
@@ -545,6 +575,7 @@
         // its own, and it looks again once it has heard them.
         let stood_still = now.saturating_sub(self.ticked_at) > self.timing.election_min * 2 / 3;
         self.ticked_at = now;
+        self.out.now.extend(self.fragments.tick(now));
         match self.role {
             Role::Leader => {
                 if !stood_still && !self.heard_by_majority(self.timing.election_min) {
@@ -575,6 +606,7 @@
             Role::Leader => self.beat_at,
             _ => self.deadline,
         };
+        let own = self.fragments.next_tick().map_or(own, |at| at.min(own));
         if self.followers.is_empty() {
             own
         } else {
@@ -759,6 +791,23 @@
                 return;
             }
             CueKind::Follow => return self.on_follow(from, cue),
+            CueKind::Fragment => {
+                self.hear_feed(from);
+                let (reply, message) = self.fragments.receive(now, from, cue);
+                self.out.now.extend(reply.map(|r| (from, r)));
+                if let Some(cue) = message.filter(|m| m.kind != CueKind::Fragment as i32) {
+                    self.receive(now, from, cue);
+                }
+                return;
+            }
+            CueKind::FragmentTaken => {
+                if let Some(f) = self.followers.get_mut(&from) {
+                    f.heard_at = now;
+                }
+                let next = self.fragments.acknowledged(now, from, &cue);
+                self.out.now.extend(next.map(|n| (from, n)));
+                return;
+            }
             _ => {}
         }
         let passed_on = cue.leader != 0;
@@ -926,6 +975,10 @@
             self.out.after.push((from, reply));
             return;
         }
+        if !(self.readable)(snapshot.index, &snapshot.data) {
+            self.unreadable += 1;
+            return;
+        }
         reply.index = snapshot.index;
         if self.term_at(snapshot.index) == Some(snapshot.term) {
             self.drop_front((snapshot.index - self.base.0) as usize);
--- a/crates/prompter/src/machine/relay.rs
+++ b/crates/prompter/src/machine/relay.rs
@@ -64,6 +64,14 @@
         good
     }
 
+    /// The node followed is sending, though nothing whole has come of it yet.
+    pub(super) fn hear_feed(&mut self, from: u64) {
+        if self.feed.from == from {
+            self.feed.answered = true;
+            self.feed.heard_at = self.now;
+        }
+    }
+
     /// A node asks for the log after `index`, up to which it has what is
     /// committed.
     pub(super) fn on_follow(&mut self, from: u64, cue: Cue) {
--- a/crates/rehearsal/src/node.rs
+++ b/crates/rehearsal/src/node.rs
@@ -29,8 +29,6 @@
 pub struct Life {
     pub prompter: Prompter,
     pub stage: Stage,
-    /// The state of a snapshot that the agreement has just taken.
-    arrived: Option<Stage>,
     pub wardrobe: Wardrobe,
     pub wardrobe_since: Option<u64>,
     pub next_poll: u64,
@@ -48,24 +46,6 @@
     pub leaving: bool,
 }
 
-impl Life {
-    /// Takes a message in. A snapshot that cannot be read is no message.
-    pub fn receive(&mut self, now: u64, from: u64, cue: Cue) {
-        let newer = cue.snapshot.as_ref().filter(|s| s.index > self.stage.index);
-        let read = newer.map(|s| (s.index, Stage::from_snapshot(s.index, &s.data)));
-        if let Some((_, Err(_))) = &read {
-            return;
-        }
-        let before = self.prompter.commit();
-        self.prompter.receive(now, from, cue);
-        if let Some((index, Ok(stage))) = read {
-            if before < index && self.prompter.commit() == index {
-                self.arrived = Some(stage);
-            }
-        }
-    }
-}
-
 /// An order of the operator that waits in the log.
 pub struct Pending {
     pub name: String,
@@ -108,10 +88,11 @@
         };
         let stage = Stage::from_snapshot(saved.snapshot.index, &saved.snapshot.data);
         let stage = stage.expect("the disk gives back what was written");
+        let mut prompter = Prompter::new(id, saved, TIMING, now, id);
+        prompter.set_readable(Stage::is_readable);
         self.life = Some(Life {
-            prompter: Prompter::new(id, saved, TIMING, now, id),
+            prompter,
             stage,
-            arrived: None,
             wardrobe: Wardrobe::new(10_000, 300),
             wardrobe_since: None,
             next_poll: 0,
@@ -167,9 +148,9 @@
                 Some(_) => life.waiting.push_back((life.written, effects.after, last)),
             }
             if let Some(snapshot) = effects.install {
-                // It was read when it arrived.
-                if let Some(stage) = life.arrived.take().filter(|s| s.index == snapshot.index) {
-                    life.stage = stage;
+                if snapshot.index > life.stage.index {
+                    let stage = Stage::from_snapshot(snapshot.index, &snapshot.data);
+                    life.stage = stage.expect("the agreement takes none that cannot be read");
                 }
                 life.prompter.applied(life.stage.index);
             }
@@ -199,7 +180,9 @@
                 }
             }
         }
-        if life.prompter.log_len() > 40 {
+        // As the program does it, and sooner where entries are few.
+        let room = c::LOG_KEEP_BYTES.max(life.prompter.snapshot_bytes());
+        if life.prompter.log_len() > 40 || life.prompter.log_bytes() > room {
             life.prompter.compact(life.stage.to_snapshot());
         }
         if !life.current && life.prompter.is_current() {
