Rehearsals: links with a width, configurations of real size, members that were away

Change: `narrow`, `routes` and `await` in scenarios; a link carries one message after the other at its width.

--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -19,6 +19,9 @@
 //! measure                    counts the bytes of the agreement from now on
 //! expect all-current | voter-bytes N | node-bytes N        at the most, a second
 //! lag 1200                   calls to workers take up to so much longer
+//! routes 300                 configurations have so many routes from now on
+//! narrow a 250000            bytes a second that a's link carries, each way
+//! await 4000 version 8 c     like expect, which must hold before so many ms are over
 //! expect covered             every key is held by a worker that is up and stays
 //! expect may-end a | stays a                           a was told to end: whether it may
 //! expect voters N | not-voter ADDRESS | holds w1 yes|no | another-leader | leaving w1
@@ -28,9 +31,13 @@
 use crate::world::World;
 use playbill::letters::{ReplaceOrder, Worker};
 use playbill::stage::Outcome;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
 
 pub struct Player {
     pub world: World,
+    /// Routes of the configurations that are ordered.
+    routes: u64,
     last_leader: String,
 }
 
@@ -57,6 +64,7 @@
 pub fn play(text: &str, seed: u64) {
     let mut player = Player {
         world: World::new(seed),
+        routes: 0,
         last_leader: String::new(),
     };
     for (number, line) in text.lines().enumerate() {
@@ -83,6 +91,30 @@
     .into_bytes()
 }
 
+/// A configuration with so many routes of usual length, which differs from the one
+/// before in one of them.
+pub fn large_configuration(version: u64, routes: u64) -> Vec<u8> {
+    let route = |number: u64| {
+        // The newest version that has changed this route.
+        let changed = version.saturating_sub((version + routes - number) % routes.max(1));
+        let mut rng = SmallRng::seed_from_u64(number << 32 | changed);
+        let mut word = || format!("{:08x}", rng.gen::<u32>());
+        format!(
+            r#"{{"Host":"{}.{}.example.com","Rules":[{{"Name":"route-{}","RouteType":"idempotent","Target":"{}ms","Priority":2,"Condition":{{"PathPrefix":"/{}/{}/"}},"Treatment":{{"Service":"s","Timeout":"4s","AttemptLimit":3,"HomeRegions":["r1","r2"]}}}}]}}"#,
+            word(),
+            word(),
+            word(),
+            100 + number % 9,
+            word(),
+            word()
+        )
+    };
+    let routes: Vec<String> = (0..routes).map(route).collect();
+    let empty = String::from_utf8(configuration(version)).unwrap_or_default();
+    let points = format!(r#""AccessPoints":[{}]"#, routes.join(","));
+    empty.replace(r#""AccessPoints":[]"#, &points).into_bytes()
+}
+
 fn worker(id: &str) -> StandIn {
     StandIn::new(Worker {
         id: id.into(),
@@ -126,7 +158,7 @@
             "order" | "try" => {
                 let order = ReplaceOrder {
                     base: number(rest.get(1))?,
-                    body: configuration(number(rest.get(2))?),
+                    body: large_configuration(number(rest.get(2))?, self.routes),
                     ..Default::default()
                 };
                 if !self.world.order(rest[0], order) && words[0] == "order" {
@@ -187,6 +219,20 @@
             }
             "measure" => self.world.measure(),
             "lag" => self.world.lag_ms = number(rest.first())?,
+            "routes" => self.routes = number(rest.first())?,
+            "narrow" => {
+                let (name, width) = (self.named(rest[0])?, number(rest.get(1))?);
+                self.world.narrow.insert(name, width);
+            }
+            "await" => {
+                let end = self.world.now + number(rest.first())?;
+                while let Err(e) = self.expect(&rest[1..]) {
+                    if self.world.now >= end {
+                        return Err(e);
+                    }
+                    self.world.run(10);
+                }
+            }
             "mend" => self.world.cuts.clear(),
             "drain" | "gone" | "dark" | "mute" => self.worker(words[0], rest[0])?,
             "expect" => self.expect(rest)?,
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -73,6 +73,11 @@
     measured_since: u64,
     /// Calls to workers take up to so much longer, ms.
     pub lag_ms: u64,
+    /// Bytes a second that a machine's link carries, each way; all others are wide.
+    pub narrow: BTreeMap<String, u64>,
+    /// When the link of a narrow machine will have carried what waits for it, us, by
+    /// machine and whether it goes out.
+    carried_at: BTreeMap<(String, bool), u64>,
 }
 
 impl World {
@@ -93,6 +98,8 @@
             sent: BTreeMap::new(),
             measured_since: 0,
             lag_ms: 0,
+            narrow: BTreeMap::new(),
+            carried_at: BTreeMap::new(),
         }
     }
 
@@ -232,9 +239,11 @@
         if self.cuts.contains(&(from.to_string(), name.clone())) {
             return;
         }
-        let count = self.sent.entry(from.to_string()).or_default();
-        *count += prost::Message::encoded_len(&cue);
-        let at = self.now + self.latency(from, &name);
+        let bytes = prost::Message::encoded_len(&cue);
+        *self.sent.entry(from.to_string()).or_default() += bytes;
+        let out = self.carry(from, true, self.now, bytes);
+        let latency = self.latency(from, &name);
+        let at = self.carry(&name, false, out + latency, bytes);
         self.flights.push((
             at,
             Flight::Cue {
@@ -245,6 +254,18 @@
         ));
     }
 
+    /// When a message that reaches a link at a moment is through it: one after the
+    /// other, each as long as it is large.
+    fn carry(&mut self, machine: &str, out: bool, at: u64, bytes: usize) -> u64 {
+        let Some(width) = self.narrow.get(machine) else {
+            return at;
+        };
+        let key = (machine.to_string(), out);
+        let free = self.carried_at.entry(key).or_default();
+        *free = (*free).max(at * 1000) + bytes as u64 * 1_000_000 / width;
+        *free / 1000
+    }
+
     fn deliver(&mut self) {
         let now = self.now;
         let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.flights)
@@ -261,7 +282,7 @@
                         .find(|n| n.id() == to)
                         .and_then(|n| n.life.as_mut())
                     {
-                        life.receive(now, sender, cue);
+                        life.prompter.receive(now, sender, cue);
                     }
                 }
                 Flight::Grant {
--- /dev/null
+++ b/crates/rehearsal/tests/catch_up.rs
@@ -0,0 +1,103 @@
+//! Hundreds of changes of real size, and members that were away: who comes back
+//! catches up within a stated time, whatever its link and however large the state.
+
+use playbill::letters::ReplaceOrder;
+use playbill::stage::Outcome;
+use playbill::Configuration;
+use rehearsal::script::large_configuration;
+use rehearsal::world::World;
+
+/// 2 Mbit/s, in bytes.
+const NARROW: u64 = 250_000;
+/// A member that is back counts as there after this time, ms.
+const CATCH_UP_MS: u64 = 4000;
+
+#[test]
+fn a_large_configuration_is_valid_and_differs_in_one_route() {
+    let [one, two] = [7, 8].map(|version| large_configuration(version, 300));
+    assert_eq!(Configuration::faults(&one), []);
+    assert!((70_000..100_000).contains(&one.len()), "{} bytes", one.len());
+    let differ = one.iter().zip(&two).filter(|(a, b)| a != b).count();
+    assert!(one.len() == two.len() && differ < 100, "{differ} bytes differ");
+}
+
+const VOTERS: [(&str, &str); 5] = [("a", "r1"), ("b", "r1"), ("c", "r2"), ("d", "r2"), ("e", "r3")];
+
+fn world(seed: u64, routes: u64) -> World {
+    let mut world = World::new(seed);
+    for (i, (name, region)) in VOTERS.iter().enumerate() {
+        world.add(name, region, true, true);
+        if i == 0 {
+            world.begin(name);
+        }
+    }
+    world.add("x", "r3", false, true);
+    world.run(5000);
+    change(&mut world, 1, routes);
+    world
+}
+
+/// Orders a version on top of the one before, until it is taken.
+fn change(world: &mut World, version: u64, routes: u64) {
+    let name = format!("to-{version}");
+    let body = large_configuration(version, routes);
+    for _ in 0..100 {
+        let order = ReplaceOrder {
+            base: version - 1,
+            body: body.clone(),
+            ..Default::default()
+        };
+        if world.order(&name, order) {
+            for _ in 0..100 {
+                world.run(10);
+                match world.answers.get(&name) {
+                    Some(Some(Outcome::Applied | Outcome::Already)) => return,
+                    Some(Some(other)) => panic!("version {version}: {other:?}"),
+                    Some(None) => break,
+                    None => {}
+                }
+            }
+        }
+        world.run(100);
+    }
+    panic!("version {version} is never taken");
+}
+
+fn version(world: &World, name: &str) -> u64 {
+    let life = world.nodes[name].life.as_ref();
+    life.map_or(0, |l| if l.current { l.stage.version() } else { 0 })
+}
+
+/// Time until a machine that was down during so many changes has caught up, ms.
+fn recovery(seed: u64, routes: u64, changes: u64, width: u64, wipe: bool) -> Option<u64> {
+    let mut world = world(seed, routes);
+    world.end("e", false);
+    for v in 2..=changes + 1 {
+        change(&mut world, v, routes);
+    }
+    if wipe {
+        world.wipe("e");
+    }
+    if width > 0 {
+        world.narrow.insert("e".into(), width);
+    }
+    let from = world.now;
+    world.start("e");
+    while version(&world, "e") < changes + 1 {
+        world.run(10);
+        if world.now - from > 30_000 {
+            return None;
+        }
+    }
+    Some(world.now - from)
+}
+
+/// Twenty changes of real size, seen by members that were down, empty or narrow.
+#[test]
+fn whoever_was_away_catches_up() {
+    for (routes, width, wipe) in [(100, 0, false), (300, NARROW, false), (300, NARROW, true)] {
+        let took = recovery(1, routes, 20, width, wipe);
+        println!("{routes} routes, {width} bytes a second, empty {wipe}: {took:?} ms");
+        assert!(took.is_some_and(|ms| ms <= CATCH_UP_MS), "{took:?}");
+    }
+}
