The store's file stops growing under large changes: a test, measured

Cause: nobody had measured whether freed pages of the store are used again.

Held already. No compaction is needed.

--- a/crates/playhouse/src/vault_tests.rs
+++ b/crates/playhouse/src/vault_tests.rs
@@ -408,3 +408,39 @@
         refused(&folder, why);
     }
 }
+
+/// Writes changes of a size as the agreement does: each an entry, folded into a
+/// snapshot of a third of the size. Largest size of the file, bytes.
+fn grow(changes: u64, bytes: usize) -> u64 {
+    let mut store = Store::new(Folder::new());
+    let mut rng = rand::rngs::SmallRng::seed_from_u64(1);
+    let mut most = 0;
+    for index in 1..=changes {
+        let mut data = vec![0; bytes];
+        rng.fill(&mut data[..]);
+        let snapshot = Snapshot {
+            index: index - 1,
+            term: 2,
+            data: data[..bytes / 3].to_vec(),
+            ..Default::default()
+        };
+        store.write(Write {
+            hard: (index == 1).then_some((2, 5)),
+            snapshot: (index > 1).then_some(snapshot),
+            entries: vec![Entry { data, ..entry(index) }],
+            ..Default::default()
+        });
+        let size = std::fs::metadata(store.folder.store()).expect("there");
+        most = most.max(size.len());
+    }
+    store.close();
+    most
+}
+
+/// Pages that are free are used again: the file stays within the smallest disk.
+#[test]
+fn the_file_stops_growing() {
+    let [some, many] = [20, 120].map(|changes| grow(changes, 300_000));
+    println!("300 KB a change: {some} bytes after 20, {many} after 120");
+    assert!(many <= 2 * some && many < 16 << 20, "{some}, {many}");
+}
