--- a/crates/prompter/tests/narrow.rs
+++ b/crates/prompter/tests/narrow.rs
@@ -44,6 +44,7 @@
     };
     Roll {
         voters: ids.iter().map(voter).collect(),
+        ..Default::default()
     }
 }
 
