Agreement: who is back is lost no more, a roll has a floor, one voter too many steps back

Cause, all found by random worlds: (a) a newcomer let in while a voter restarts leaves four live voters over three regions; they bear no loss, nothing took a vote away, and every order got 503 in a calm system; a loss then took the majority. (b) a wipe and a planned end at the same moment shrank a roll of three to one voter, which acknowledged on one disk and let nobody in: voters removed counted as the loss under way for ever, though they were back.

Change: a removed voter counts as lost only until its machine is there again and caught up, or its place is taken; a roll never has fewer voters than machines that may be lost plus one, and acknowledges nothing below that; voters that all live and bear no loss, with nobody to come who mends it, lose the newest of those without whom the rest bears one, after 2 s.

Ruled out: judging by the living alone at the order (a loss of a region would still take the majority).

--- a/crates/playhouse/src/conductor/mod.rs
+++ b/crates/playhouse/src/conductor/mod.rs
@@ -296,7 +296,7 @@
             let effects = self.prompter.take_effects();
             self.send_cues(effects.now);
             let last = (self.prompter.last_index(), self.prompter.term_of_last());
-            self.write(effects.write, effects.after, last);
+            let answers = self.write(effects.write, effects.after, last);
             if let Some(snapshot) = effects.install {
                 self.install(&snapshot);
             }
@@ -309,6 +309,7 @@
                     let _ = reader.send(good);
                 }
             }
+            self.send_answers(answers);
             if idle && !self.tend_on() {
                 break;
             }
@@ -325,11 +326,11 @@
         self.publish();
     }
 
-    fn write(&mut self, write: Write, after: Vec<(u64, Cue)>, last: (u64, u64)) {
+    /// Hands a write to the disk; the messages that need not wait for one.
+    fn write(&mut self, write: Write, after: Vec<(u64, Cue)>, last: (u64, u64)) -> Vec<(u64, Cue)> {
         let Some(vault) = &self.vault else {
-            self.send_cues(after);
             self.prompter.persisted(last.0, last.1);
-            return;
+            return after;
         };
         if !write.is_empty() {
             if self.written == self.done {
@@ -339,10 +340,18 @@
             vault.write(self.written, write);
             self.waiting.push_back((self.written, after, last));
         } else if self.written == self.done {
-            self.send_cues(after);
+            return after;
         } else if !after.is_empty() {
             self.waiting.push_back((self.written, after, last));
         }
+        Vec::new()
+    }
+
+    /// Sends answers, with what has been applied by now: the leader need not wait for the
+    /// next one to learn that a change is in force here.
+    fn send_answers(&self, mut answers: Vec<(u64, Cue)>) {
+        self.prompter.stamp(&mut answers);
+        self.send_cues(answers);
     }
 
     /// Takes a message of the agreement in.
@@ -514,7 +523,7 @@
                 self.written_at = self.house.now();
                 while self.waiting.front().is_some_and(|(s, _, _)| *s <= seq) {
                     if let Some((_, after, last)) = self.waiting.pop_front() {
-                        self.send_cues(after);
+                        self.send_answers(after);
                         self.prompter.persisted(last.0, last.1);
                     }
                 }
--- a/crates/prompter/src/losses.rs
+++ b/crates/prompter/src/losses.rs
@@ -118,9 +118,20 @@
     voters / 2 + 1
 }
 
+/// Lost voters whose place nobody has taken again; see [`Roll::vacant`].
+pub(crate) fn vacant(roll: &Roll) -> Vec<&Voter> {
+    let taken = |v: &Voter| roll.voters.iter().any(|o| o.id == v.id || o.address == v.address);
+    roll.vacant.iter().filter(|v| !taken(v)).collect()
+}
+
+/// Whether so many voters can hold anything that is to outlast the machines that may be
+/// lost, whatever is lost already.
+pub(crate) fn are_enough(voters: usize, losses: Losses) -> bool {
+    voters > losses.machines as usize
+}
+
 /// Whether these voters, all of them alive, still have a majority after what may be lost.
 pub fn bears(roll: &Roll, losses: Losses) -> bool {
     let voters: Vec<&Voter> = roll.voters.iter().collect();
-    let vacant: Vec<&Voter> = roll.vacant.iter().collect();
-    spare(&voters, &vacant, losses) >= 0
+    are_enough(voters.len(), losses) && spare(&voters, &vacant(roll), losses) >= 0
 }
--- a/crates/prompter/src/machine.rs
+++ b/crates/prompter/src/machine.rs
@@ -99,6 +99,8 @@
     leader: u64,
     roll: Roll,
     roll_index: u64,
+    /// Since when this roll is in force here.
+    roll_since: u64,
     votes: BTreeSet<u64>,
     progress: BTreeMap<u64, Progress>,
     deadline: u64,
@@ -158,6 +160,7 @@
             leader: 0,
             roll: Roll::default(),
             roll_index: 0,
+            roll_since: now,
             votes: BTreeSet::new(),
             progress: BTreeMap::new(),
             deadline: 0,
@@ -305,6 +308,10 @@
     pub fn holds_lease(&self, now: u64) -> bool {
         self.is_settled() && self.handing_over.is_none() && now < self.lease_until
     }
+    /// Since when the roll is as it is, as far as this life knows, ms.
+    pub fn roll_since(&self) -> u64 {
+        self.roll_since
+    }
     pub fn led_since(&self) -> u64 {
         self.led_since
     }
@@ -357,6 +364,14 @@
         }
     }
 
+    /// Puts into answers that are about to go what has been applied since they were made.
+    pub fn stamp(&self, answers: &mut [(u64, Cue)]) {
+        let applied = self.applied_by_all();
+        for (_, cue) in answers.iter_mut().filter(|(_, c)| c.kind() == CueKind::Appended) {
+            cue.applied = cue.applied.max(applied);
+        }
+    }
+
     /// Word that the owner of the state has applied up to an index.
     pub fn applied(&mut self, index: u64) {
         self.applied = self.applied.max(index);
@@ -1242,6 +1257,7 @@
     fn adopt_roll(&mut self, roll: Roll, index: u64) {
         self.roll = roll;
         self.roll_index = index;
+        self.roll_since = self.now;
         if self.is_leader() {
             let next = self.last_index() + 1;
             let now = self.now;
--- a/crates/prompter/src/tend.rs
+++ b/crates/prompter/src/tend.rs
@@ -2,7 +2,7 @@
 //! what is acknowledged bears a loss.
 
 use crate::cue::{Roll, Voter};
-use crate::losses::{cases, majority, spare, spare_later, Case, Losses};
+use crate::losses::{are_enough, cases, majority, spare, spare_later, vacant, Case, Losses};
 use crate::machine::Prompter;
 use crate::progress::Progress;
 
@@ -48,13 +48,11 @@
     }
     let voters: Vec<&Voter> = prompter.roll().voters.iter().collect();
     let holders = voters.iter().filter(|v| prompter.on_disk(v.id) >= index).count();
-    let lost: Vec<&Voter> = voters
-        .iter()
-        .filter(|v| !in_contact(prompter, v.id, now, contact))
-        .copied()
-        .chain(&prompter.roll().vacant)
-        .collect();
-    holders >= majority(voters.len()) && spare(&voters, &lost, losses) >= 0
+    let silent = |v: &&Voter| !in_contact(prompter, v.id, now, contact);
+    let there = voters.iter().copied().chain(vacant(prompter.roll()));
+    let lost: Vec<&Voter> = there.filter(silent).collect();
+    let held = holders >= majority(voters.len()) && are_enough(voters.len(), losses);
+    held && spare(&voters, &lost, losses) >= 0
 }
 
 /// Whether the core goes on, with all that was committed, if voter `id` ends now:
@@ -103,7 +101,8 @@
         return None;
     }
     // The latest loss first.
-    let vacant: Vec<&Voter> = prompter.roll().vacant.iter().collect();
+    let mut vacant = vacant(prompter.roll());
+    vacant.retain(|v| !view.is_back(v));
     let mut absent: Vec<&Voter> = lost.iter().chain(&vacant).copied().collect();
     absent.sort_by_key(|v| std::cmp::Reverse(view.lost_at(v)));
     let care = Care {
@@ -118,7 +117,8 @@
     };
     let changes = care.removals().into_iter().chain(care.additions());
     // Of equal ones the first: what is lost goes before newcomers come.
-    let best = changes.rev().max_by_key(|c| c.spare)?;
+    let best = changes.rev().max_by_key(|c| c.spare);
+    let best = best.or_else(|| care.step_back())?;
     let own = |voters: Vec<&Voter>| voters.into_iter().cloned().collect();
     Some(Roll {
         vacant: match spare(&best.voters, &[], losses) {
@@ -162,6 +162,14 @@
         !self.in_contact(v) || self.is_wiped(v) || self.leaves(v)
     }
 
+    /// Whether a lost machine is there again and caught up, with its disk or an empty one:
+    /// it may be taken in, and whatever is lost next is a loss of its own.
+    fn is_back(&self, v: &Voter) -> bool {
+        let same = |s: &&Seen| s.voter.id == v.id || s.voter.address == v.address;
+        let back = |s: &Seen| self.in_contact(&s.voter) && is_caught_up(self.prompter, s.voter.id);
+        self.seen.iter().filter(same).any(back)
+    }
+
     /// When a lost voter was lost, as far as that can be told: a wiped machine is back,
     /// so its loss is the latest.
     fn lost_at(&self, v: &Voter) -> u64 {
@@ -264,7 +272,8 @@
             // Fewer voters are no use by themselves.
             let serves = later > self.later_now || later_all >= 0 || !self.newcomers.is_empty();
             let up = |o: &&&Voter| self.view.in_contact(o) && !self.view.is_wiped(o);
-            let goes_on = voters.iter().filter(up).count() >= majority(voters.len());
+            let live = voters.iter().filter(up).count();
+            let goes_on = live >= majority(voters.len()) && are_enough(voters.len(), self.losses);
             // What is removed is still lost until its successor counts.
             if serves && goes_on && self.keeps(&voters) {
                 let absent: Vec<&Voter> = self.lost.iter().chain(&self.vacant).copied().collect();
@@ -280,6 +289,43 @@
         changes
     }
 
+    /// Voters that all live and yet bear no loss, with nobody to come who mends that, are
+    /// one too many: the newest of those without whom the rest bears one steps back. What
+    /// is just coming up has its time first.
+    fn step_back(&self) -> Option<Change<'a>> {
+        let prompter = self.view.prompter;
+        let bears = |voters: &[&Voter]| {
+            are_enough(voters.len(), self.losses) && spare(voters, &self.vacant, self.losses) >= 0
+        };
+        if !self.lost.is_empty() || bears(&self.voters) {
+            return None;
+        }
+        let learning = |s: &Seen| s.disk && s.alive && !prompter.roll().has(s.voter.id);
+        let comes_up = self
+            .view
+            .seen
+            .iter()
+            .any(|s| learning(s) && !is_caught_up(prompter, s.voter.id));
+        let patience = self.view.patience;
+        let pause = if comes_up { patience.gone } else { patience.left };
+        let since = prompter.roll_since().max(prompter.led_since());
+        if self.view.now.saturating_sub(since) < pause {
+            return None;
+        }
+        // The last in the roll is the newest.
+        let others = self.voters.iter().filter(|v| v.id != prompter.id());
+        let one = others
+            .filter(|v| bears(&self.without(&[v])))
+            .max_by_key(|v| spare_later(&self.without(&[v]), &[], self.losses))?;
+        let voters = self.without(&[one]);
+        let later = spare_later(&voters, &[], self.losses);
+        Some(Change {
+            spare: (later, later),
+            vacant: self.vacant.clone(),
+            voters,
+        })
+    }
+
     fn additions(&self) -> Vec<Change<'a>> {
         let with = |voters: &[&'a Voter], v: &'a Voter| -> Vec<&'a Voter> {
             voters.iter().copied().chain([v]).collect()
