A configuration enters the log as what it changes of the one in force

Cause: a change of one route put the whole configuration into the log: written by each voter, sent to each node.

The entry names the order by the ledger's key and the body it changes by its digest; where another is in force the ledger says what became of the order, and a body that does not come to the key is never taken.

Ruled out: common beginning and end (the version stands at the front, the change anywhere); DEFLATE with the old body as dictionary (its window is 32 KB).

A log of deltas is not understood by earlier versions.

--- a/crates/playbill/src/ledger.rs
+++ b/crates/playbill/src/ledger.rs
@@ -57,6 +57,11 @@
     u64::from_le_bytes(std::array::from_fn(|i| bytes[i]))
 }
 
+/// The digest of a configuration's body.
+pub fn body_digest(body: &[u8]) -> Vec<u8> {
+    digest(&[b"body", body])[..DIGEST_BYTES].to_vec()
+}
+
 /// What a configuration order is known by.
 pub fn key_of(order: &ReplaceOrder) -> TakenOrder {
     // Of a `modify` the log holds the amendment, whatever it came to.
--- a/crates/playbill/src/letters.rs
+++ b/crates/playbill/src/letters.rs
@@ -344,7 +344,7 @@
 /// One change to the control state, as the log orders it.
 #[derive(Clone, PartialEq, Message)]
 pub struct Change {
-    #[prost(oneof = "ChangeKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9")]
+    #[prost(oneof = "ChangeKind", tags = "1, 2, 3, 4, 5, 6, 7, 8, 9, 11")]
     pub kind: Option<ChangeKind>,
     /// Of an order that names no base: what it is known by when it comes again.
     #[prost(message, optional, tag = "10")]
@@ -435,6 +435,33 @@
     Rollout(PreviewChange),
     #[prost(message, tag = "9")]
     KillSwitch(KillSwitch),
+    #[prost(message, tag = "11")]
+    ReplaceDelta(ReplaceDelta),
+}
+
+/// A [`ReplaceOrder`] as the log holds it: what it changes of the configuration that was
+/// in force where it was proposed.
+#[derive(Clone, PartialEq, Message)]
+pub struct ReplaceDelta {
+    /// What the order is known by.
+    #[prost(message, optional, tag = "1")]
+    pub order: Option<TakenOrder>,
+    /// Digest of the body that it changes.
+    #[prost(bytes = "vec", tag = "2")]
+    pub base_digest: Vec<u8>,
+    #[prost(message, repeated, tag = "3")]
+    pub parts: Vec<DeltaPart>,
+}
+
+/// Some bytes, and then a piece of the body that is changed.
+#[derive(Clone, PartialEq, Message)]
+pub struct DeltaPart {
+    #[prost(bytes = "vec", tag = "1")]
+    pub literal: Vec<u8>,
+    #[prost(uint64, tag = "2")]
+    pub from: u64,
+    #[prost(uint64, tag = "3")]
+    pub length: u64,
 }
 
 #[derive(Clone, PartialEq, Eq, Hash, Message)]
--- a/crates/playbill/src/lib.rs
+++ b/crates/playbill/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod amend;
 pub mod config;
 pub mod constants;
+pub mod delta;
 pub mod ledger;
 pub mod letters;
 pub mod pairing;
--- a/crates/playbill/src/stage.rs
+++ b/crates/playbill/src/stage.rs
@@ -4,7 +4,8 @@
 use crate::amend::amend;
 use crate::config::{Configuration, Fault, Service};
 use crate::constants as c;
-use crate::ledger::{key_of, Known, Ledger};
+use crate::delta::{delta, patch};
+use crate::ledger::{body_digest, key_of, Known, Ledger};
 use crate::letters::*;
 use flate2::write::DeflateEncoder;
 use flate2::{Compression, Crc, Decompress, FlushDecompress, Status};
@@ -111,10 +112,58 @@
         Ok(ReplaceOrder { body, ..order })
     }
 
+    /// A change as the log is to hold it: of a whole configuration, what it changes of
+    /// the one in force here, if that is much less.
+    pub fn for_log(&self, kind: ChangeKind) -> ChangeKind {
+        let ChangeKind::Replace(order) = &kind else {
+            return kind;
+        };
+        if !order.amendment.is_empty() || order.base != self.version() {
+            return kind;
+        }
+        match delta(&self.config_body, &order.body) {
+            Some(parts) => ChangeKind::ReplaceDelta(ReplaceDelta {
+                order: Some(key_of(order)),
+                base_digest: body_digest(&self.config_body),
+                parts,
+            }),
+            None => kind,
+        }
+    }
+
+    /// Carries out an order that the log holds as a change of another configuration. The
+    /// version names the body; where another is in force the order lost its race.
+    fn replace_by_delta(&mut self, change: ReplaceDelta) -> Outcome {
+        let unfit = || Outcome::Invalid(Fault("a change of another configuration".into()));
+        let Some(key) = change.order else { return unfit() };
+        if let Err(outcome) = self.known_key(&key) {
+            return outcome;
+        }
+        if change.base_digest != body_digest(&self.config_body) {
+            return unfit();
+        }
+        let Some(body) = patch(&self.config_body, &change.parts, c::FRAME_BYTES) else {
+            return unfit();
+        };
+        let order = ReplaceOrder {
+            base: key.base,
+            body,
+            ..Default::default()
+        };
+        if key_of(&order) != key {
+            return unfit();
+        }
+        self.replace(order)
+    }
+
     /// What the ledger says of a configuration order that is not to be judged anew.
     fn known_configuration(&self, order: &ReplaceOrder) -> Result<(), Outcome> {
+        self.known_key(&key_of(order))
+    }
+
+    fn known_key(&self, key: &TakenOrder) -> Result<(), Outcome> {
         let current = self.version();
-        match self.ledger.configuration(&key_of(order), current) {
+        match self.ledger.configuration(key, current) {
             Known::New => Ok(()),
             Known::Taken => Err(Outcome::Already),
             Known::Refused => Err(Outcome::Lost(current)),
@@ -239,6 +288,7 @@
     fn carry_out(&mut self, index: u64, kind: Option<ChangeKind>) -> Outcome {
         match kind {
             Some(ChangeKind::Replace(order)) => self.replace(order),
+            Some(ChangeKind::ReplaceDelta(change)) => self.replace_by_delta(change),
             Some(ChangeKind::Evacuate(e)) => self.evacuate(index, e),
             Some(ChangeKind::Workers(w)) => {
                 let workers = Arc::make_mut(&mut self.workers);
--- a/crates/playhouse/src/conductor/orders.rs
+++ b/crates/playhouse/src/conductor/orders.rs
@@ -43,7 +43,10 @@
             return rx;
         }
         if self.prompter.is_settled() {
-            if let Some((index, term)) = self.prompter.propose(encode_order(kind, tag.clone())) {
+            if let Some((index, term)) = self
+                .prompter
+                .propose(encode_order(self.stage.for_log(kind), tag.clone()))
+            {
                 let proposal = Proposal {
                     term,
                     key,
--- a/crates/rehearsal/src/disk.rs
+++ b/crates/rehearsal/src/disk.rs
@@ -1,6 +1,7 @@
 //! A disk that loses what was not synced when the power goes.
 
 use prompter::{Entry, Saved, Write};
+use prost::Message;
 
 #[derive(Clone, Debug, Default)]
 pub struct Disk {
@@ -13,10 +14,14 @@
     /// Extra time that a sync takes.
     pub slow_ms: u64,
     pub stuck: bool,
+    /// Bytes of entries and snapshots written so far.
+    pub written: usize,
 }
 
 impl Disk {
     pub fn write(&mut self, now: u64, seq: u64, write: Write) {
+        let entries = write.entries.iter().map(|e| e.encoded_len());
+        self.written += entries.sum::<usize>() + write.snapshot.as_ref().map_or(0, |s| s.encoded_len());
         let after = self.pending.last().map_or(now, |(at, _, _)| (*at).max(now));
         self.pending.push((after + 2 + self.slow_ms, seq, write));
     }
--- a/crates/rehearsal/src/script.rs
+++ b/crates/rehearsal/src/script.rs
@@ -19,7 +19,8 @@
 //! measure                    counts the bytes of the agreement from now on
 //! expect all-current | voter-bytes N | node-bytes N        at the most, a second
 //! lag 1200                   calls to workers take up to so much longer
-//! routes 300                 configurations have so many routes from now on
+//! routes 300 [all]           configurations have so many routes from now on; each
+//!                            changes one of them, or all
 //! narrow a 250000            bytes a second that a's link carries, each way
 //! await 4000 version 8 c     like expect, which must hold before so many ms are over
 //! expect covered             every key is held by a worker that is up and stays
@@ -38,6 +39,8 @@
     pub world: World,
     /// Routes of the configurations that are ordered.
     routes: u64,
+    /// Whether each changes all of its routes.
+    all: bool,
     last_leader: String,
 }
 
@@ -65,6 +68,7 @@
     let mut player = Player {
         world: World::new(seed),
         routes: 0,
+        all: false,
         last_leader: String::new(),
     };
     for (number, line) in text.lines().enumerate() {
@@ -92,21 +96,27 @@
 }
 
 /// A configuration with so many routes of usual length, which differs from the one
-/// before in one of them.
-pub fn large_configuration(version: u64, routes: u64) -> Vec<u8> {
+/// before in one of them, or in all.
+pub fn large_configuration(version: u64, routes: u64, all: bool) -> Vec<u8> {
     let route = |number: u64| {
         // The newest version that has changed this route.
-        let changed = version.saturating_sub((version + routes - number) % routes.max(1));
+        let ago = if all {
+            0
+        } else {
+            (version + routes - number) % routes
+        };
+        let changed = version.saturating_sub(ago);
         let mut rng = SmallRng::seed_from_u64(number << 32 | changed);
         let mut word = || format!("{:08x}", rng.gen::<u32>());
+        // One that changes all has little in common with the one before.
+        let path: Vec<String> = (0..if all { 30 } else { 2 }).map(|_| word()).collect();
         format!(
-            r#"{{"Host":"{}.{}.example.com","Rules":[{{"Name":"route-{}","RouteType":"idempotent","Target":"{}ms","Priority":2,"Condition":{{"PathPrefix":"/{}/{}/"}},"Treatment":{{"Service":"s","Timeout":"4s","AttemptLimit":3,"HomeRegions":["r1","r2"]}}}}]}}"#,
+            r#"{{"Host":"{}.{}.example.com","Rules":[{{"Name":"route-{}","RouteType":"idempotent","Target":"{}ms","Priority":2,"Condition":{{"PathPrefix":"/{}/"}},"Treatment":{{"Service":"s","Timeout":"4s","AttemptLimit":3,"HomeRegions":["r1","r2"]}}}}]}}"#,
             word(),
             word(),
             word(),
             100 + number % 9,
-            word(),
-            word()
+            path.join("/")
         )
     };
     let routes: Vec<String> = (0..routes).map(route).collect();
@@ -158,7 +168,7 @@
             "order" | "try" => {
                 let order = ReplaceOrder {
                     base: number(rest.get(1))?,
-                    body: large_configuration(number(rest.get(2))?, self.routes),
+                    body: large_configuration(number(rest.get(2))?, self.routes, self.all),
                     ..Default::default()
                 };
                 if !self.world.order(rest[0], order) && words[0] == "order" {
@@ -219,7 +229,7 @@
             }
             "measure" => self.world.measure(),
             "lag" => self.world.lag_ms = number(rest.first())?,
-            "routes" => self.routes = number(rest.first())?,
+            "routes" => (self.routes, self.all) = (number(rest.first())?, rest.get(1) == Some(&"all")),
             "narrow" => {
                 let (name, width) = (self.named(rest[0])?, number(rest.get(1))?);
                 self.world.narrow.insert(name, width);
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -534,7 +534,7 @@
         if !bears(life.prompter.roll(), LOSSES) {
             return false;
         }
-        let data = encode_change(ChangeKind::Replace(order.clone()));
+        let data = encode_change(life.stage.for_log(ChangeKind::Replace(order.clone())));
         match life.prompter.propose(data) {
             Some((index, term)) => {
                 life.orders.push(Pending {
--- a/crates/rehearsal/tests/catch_up.rs
+++ b/crates/rehearsal/tests/catch_up.rs
@@ -14,7 +14,7 @@
 
 #[test]
 fn a_large_configuration_is_valid_and_differs_in_one_route() {
-    let [one, two] = [7, 8].map(|version| large_configuration(version, 300));
+    let [one, two] = [7, 8].map(|version| large_configuration(version, 300, false));
     assert_eq!(Configuration::faults(&one), []);
     assert!((70_000..100_000).contains(&one.len()), "{} bytes", one.len());
     let differ = one.iter().zip(&two).filter(|(a, b)| a != b).count();
@@ -40,7 +40,7 @@
 /// Orders a version on top of the one before, until it is taken.
 fn change(world: &mut World, version: u64, routes: u64) {
     let name = format!("to-{version}");
-    let body = large_configuration(version, routes);
+    let body = large_configuration(version, routes, false);
     for _ in 0..100 {
         let order = ReplaceOrder {
             base: version - 1,
