--- a/crates/understage/src/main.rs
+++ b/crates/understage/src/main.rs
@@ -7,7 +7,7 @@
 use tokio::signal::unix::{signal, SignalKind};
 use understage::fleet::{Fleet, Plan};
 use understage::program;
-use understage::scenarios::{by_name, Pace, Scenario, Verdict, ALL};
+use understage::scenarios::{by_name, Options, Pace, Scenario, Verdict, ALL, STORM};
 
 /// Exit codes.
 mod exit {
@@ -48,6 +48,15 @@
         #[arg(required = true, value_name = "SCENARIO")]
         names: Vec<String>,
     },
+    /// Play faults drawn by lot for a while.
+    Storm {
+        /// Time for faults, s.
+        #[arg(default_value_t = 60)]
+        seconds: u64,
+        /// What the faults are drawn by.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+    },
     /// Start a fleet, print where each node listens, and wait.
     Up {
         /// Machines with a disk.
@@ -77,6 +86,7 @@
             };
             found
         }
+        Command::Storm { .. } => vec![&STORM],
         Command::Up { .. } => Vec::new(),
     };
     let program = match cli.playhouse.clone().map_or_else(program::find, Ok) {
@@ -118,13 +128,20 @@
         return up(program, machines, without_disk, cli.keep).await;
     }
     let pace = if cli.short { Pace::Short } else { Pace::Full };
+    let mut options = Options {
+        keep: cli.keep,
+        ..Options::of(pace)
+    };
+    if let Command::Storm { seconds, seed } = cli.command {
+        (options.seconds, options.seed) = (seconds, seed);
+    }
     let mut code = 0;
     let mut lines = Vec::new();
     let all = Instant::now();
     for scenario in chosen {
         println!("{}: {}", scenario.name, scenario.about);
         let begun = Instant::now();
-        let verdict = scenario.play(program, pace, cli.keep).await;
+        let verdict = scenario.play(program, options).await;
         let (word, worse) = match &verdict {
             Verdict::Held => ("held".to_string(), 0),
             Verdict::Broken(faults) => (format!("BROKEN, {} times", faults.len()), exit::BROKEN),
--- a/crates/understage/src/scenarios/cut_off.rs
+++ b/crates/understage/src/scenarios/cut_off.rs
@@ -29,12 +29,12 @@
     for _ in 0..2 {
         run.change(3).await?;
     }
-    let long = match run.pace {
+    let long = match run.options.pace {
         Pace::Short => SHORT_FREEZE_S,
         Pace::Full => FREEZE_S,
     };
     freeze(run, Duration::from_secs(long)).await?;
-    let again = match run.pace {
+    let again = match run.options.pace {
         Pace::Short => 1,
         Pace::Full => SHORT_FREEZES,
     };
@@ -155,7 +155,7 @@
         begin,
     };
     let within = Duration::from_secs(CLEAR_S);
-    if run.pace == Pace::Full {
+    if run.options.pace == Pace::Full {
         // A leader of some age may know an order for one sent again.
         pause(LED_MS).await;
     }
--- a/crates/understage/src/scenarios/many_changes.rs
+++ b/crates/understage/src/scenarios/many_changes.rs
@@ -32,7 +32,7 @@
         run.fleet.node(*number)?.kill();
     }
     run.say(format!("nodes {absent:?} are killed at version {}", run.current));
-    let count = match run.pace {
+    let count = match run.options.pace {
         Pace::Short => SHORT_CHANGES,
         Pace::Full => CHANGES,
     };
--- a/crates/understage/src/scenarios/mod.rs
+++ b/crates/understage/src/scenarios/mod.rs
@@ -5,6 +5,7 @@
 mod resend;
 mod right_caller;
 mod second_loss;
+mod storm;
 
 use crate::checker::{faults, Answer, Asked, History};
 use crate::fleet::{Fleet, Plan};
@@ -39,6 +40,28 @@
     Full,
 }
 
+/// How scenarios are played.
+#[derive(Clone, Copy, Debug)]
+pub struct Options {
+    pub pace: Pace,
+    /// Leave the folder with the logs where it is.
+    pub keep: bool,
+    /// Length of a storm, s, and what its faults are drawn by.
+    pub seconds: u64,
+    pub seed: u64,
+}
+
+impl Options {
+    pub fn of(pace: Pace) -> Options {
+        Options {
+            pace,
+            keep: false,
+            seconds: 60,
+            seed: 1,
+        }
+    }
+}
+
 /// How a scenario came out.
 #[derive(Debug)]
 pub enum Verdict {
@@ -83,6 +106,13 @@
     },
 ];
 
+/// Played by itself only, for as long as the options say.
+pub const STORM: Scenario = Scenario {
+    name: "storm",
+    about: "faults drawn by lot while operators race, resend and read",
+    play: |run| Box::pin(storm::play(run)),
+};
+
 pub fn by_name(name: &str) -> Option<&'static Scenario> {
     ALL.iter().find(|s| s.name == name)
 }
@@ -90,7 +120,7 @@
 /// What a scenario works with.
 pub struct Run {
     pub fleet: Fleet,
-    pub pace: Pace,
+    options: Options,
     record: Record,
     operator: Operator,
     began: Instant,
@@ -102,7 +132,7 @@
 
 impl Scenario {
     /// Plays the scenario with a fresh fleet; leaves nothing running.
-    pub async fn play(&self, program: &Path, pace: Pace, keep: bool) -> Verdict {
+    pub async fn play(&self, program: &Path, options: Options) -> Verdict {
         let plan = Plan {
             with_disk: 5,
             without_disk: 2,
@@ -114,7 +144,7 @@
         let record = Record::default();
         let mut run = Run {
             fleet,
-            pace,
+            options,
             operator: Operator::new(&record),
             record,
             began: Instant::now(),
@@ -122,10 +152,15 @@
             current: 0,
             next: 1,
         };
-        let limit = Duration::from_secs(LONGEST_S);
+        let longest = if self.name == STORM.name {
+            options.seconds + LONGEST_S
+        } else {
+            LONGEST_S
+        };
+        let limit = Duration::from_secs(longest);
         let played = match tokio::time::timeout(limit, (self.play)(&mut run)).await {
             Ok(played) => played,
-            Err(_) => Err(format!("not over after {LONGEST_S} s")),
+            Err(_) => Err(format!("not over after {longest} s")),
         };
         let Run {
             mut fleet,
@@ -141,7 +176,7 @@
         );
         broken.extend(faults(&history));
         broken.extend(fleet.ended_by_themselves());
-        if keep {
+        if options.keep {
             fleet.keep();
             println!("  folder kept: {}", fleet.folder().display());
         }
--- a/crates/understage/src/scenarios/right_caller.rs
+++ b/crates/understage/src/scenarios/right_caller.rs
@@ -33,7 +33,7 @@
     for _ in 0..2 {
         run.change(20).await?;
     }
-    let (kills, restarts) = match run.pace {
+    let (kills, restarts) = match run.options.pace {
         Pace::Short => (SHORT_KILLS, 2),
         Pace::Full => (KILLS, RESTARTS),
     };
