The fleet's leader leaves, and evacuations must outlast losses too

Cause: `second-loss` let a follower leave, which hands nothing over; and no scenario looked whether an evacuation that was acknowledged is in force after a loss.

Change: the leader is told to end for good; `second-loss` and `many-changes` order an evacuation and look for it after wipes, a leaving and a restart of all.

--- a/crates/understage/src/scenarios/many_changes.rs
+++ b/crates/understage/src/scenarios/many_changes.rs
@@ -5,7 +5,7 @@
 use crate::call::SILENCE_MS;
 use crate::checker::{Answer, Asked};
 use crate::orders;
-use crate::NotPlayed;
+use crate::{settings, NotPlayed};
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -13,6 +13,8 @@
 const CHANGES: usize = 280;
 const ROUTES: usize = 300;
 const SHORT_CHANGES: usize = 30;
+/// A zone that no machine of the fleet is in.
+const ZONE: u8 = 20;
 /// Orders that are sent again: so many changes have been made since.
 const AGES: [usize; 6] = [0, 1, 10, 100, 200, 255];
 /// What the settings grant after a loss of all, s.
@@ -44,8 +46,11 @@
         run.change(ROUTES).await?;
     }
     send_again(run).await;
+    let zone = settings::zone(ZONE);
+    run.evacuate(&zone).await?;
     restart_all(run).await?;
     run.read_back().await;
+    run.must_be_evacuated(&zone).await;
     send_again(run).await;
     run.change(ROUTES).await?;
     run.read_back().await;
--- a/crates/understage/src/scenarios/mod.rs
+++ b/crates/understage/src/scenarios/mod.rs
@@ -309,6 +309,37 @@
         }
     }
 
+    /// Evacuates a zone that no machine is in; its acknowledgement must come.
+    async fn evacuate(&mut self, zone: &str) -> Result<(), NotPlayed> {
+        let asked = Asked::Evacuate {
+            zone: zone.into(),
+            begin: true,
+        };
+        let within = Duration::from_secs(CLEAR_S);
+        match self
+            .operator
+            .settle(asked, &shuffled(&self.fleet.running()), within)
+            .await
+        {
+            Answer::Good(_) => Ok(()),
+            other => {
+                self.broken(format!(
+                    "the evacuation of {zone} has no acknowledgement: {other:?}"
+                ));
+                Err("a proper order was not taken".into())
+            }
+        }
+    }
+
+    /// An evacuation that was acknowledged must be in force still.
+    async fn must_be_evacuated(&mut self, zone: &str) {
+        match self.is_evacuated(zone).await {
+            Some(true) => self.say(format!("the evacuation of {zone} is in force")),
+            Some(false) => self.broken(format!("the evacuation of {zone} was acknowledged and is lost")),
+            None => self.broken("the state cannot be read: no status".into()),
+        }
+    }
+
     /// Whether a zone is evacuated, as far as the leader says.
     async fn is_evacuated(&self, zone: &str) -> Option<bool> {
         let status = self.status().await?;
--- a/crates/understage/src/scenarios/second_loss.rs
+++ b/crates/understage/src/scenarios/second_loss.rs
@@ -2,9 +2,11 @@
 //! comes: all that was acknowledged reads back, and orders go on.
 
 use super::{pause, Run, CATCH_UP_MS, CLEAR_S};
-use crate::NotPlayed;
+use crate::{settings, NotPlayed};
 use std::time::{Duration, Instant};
 
+/// A zone that no machine of the fleet is in.
+const ZONE: u8 = 20;
 /// Changes between two losses.
 const CHANGES: usize = 3;
 /// Wait for a newcomer's vote, s; what the settings grant is a rule of its own.
@@ -16,6 +18,8 @@
 
 pub async fn play(run: &mut Run) -> Result<(), NotPlayed> {
     run.open().await?;
+    let zone = settings::zone(ZONE);
+    run.evacuate(&zone).await?;
     changes(run).await?;
     let leader = run.fleet.wait_for_leader(Duration::from_secs(CLEAR_S)).await?;
     // A follower first, then the leader itself, so that its successor leads with
@@ -24,8 +28,8 @@
     wipe(run, first).await?;
     wipe(run, leader).await?;
     let leader = run.fleet.wait_for_leader(Duration::from_secs(CLEAR_S)).await?;
-    let leaving = other_than(&[leader, first]);
-    leave(run, leaving).await?;
+    run.say(format!("node {leader} leads, and is told to end"));
+    leave(run, leader).await?;
     let new = run.fleet.add()?;
     run.say(format!("node {new} is added with an empty disk"));
     vote(run, new).await?;
@@ -38,6 +42,7 @@
         "node {leader}, the leader, is killed; the next change took {took} ms"
     ));
     run.read_back().await;
+    run.must_be_evacuated(&zone).await;
     Ok(())
 }
 
