What is invalid by itself is refused however little is remembered of its base

Cause: an order on a base that the ledger of orders no longer remembers was answered 503 before its body was read, so that an invalid one never got the 4xx that it wants, and its sender goes on to node after node. Found by the storm on real processes, where calls that bring an invalid body on base 0 had no clear answer any more after some 256 changes.

Change: only a body that is valid is left without a clear answer; what cannot be read was never taken. A `modify` on a forgotten base is still left so: what it comes to rests on the configuration that it was meant for.

--- a/crates/playbill/src/stage.rs
+++ b/crates/playbill/src/stage.rs
@@ -199,8 +199,13 @@
     /// where the log says it: a copy may be behind.
     pub fn judge_replace(&self, order: &ReplaceOrder) -> Result<Configuration, Outcome> {
         let current = self.version();
-        self.known_configuration(order)?;
+        let known = match self.known_configuration(order) {
+            // What is invalid by itself was never taken, however little is remembered.
+            Err(Outcome::Unclear) => Err(Outcome::Unclear),
+            other => Ok(other?),
+        };
         let config = Configuration::parse(&order.body).map_err(Outcome::Invalid)?;
+        known?;
         if config.version <= current {
             return Err(Outcome::Invalid(Fault(format!(
                 "Version {} is not above the current {current}",
--- a/crates/playbill/tests/ledger.rs
+++ b/crates/playbill/tests/ledger.rs
@@ -64,6 +64,21 @@
     assert_eq!(stage.ledger.sizes(), (c::TAKEN_KEPT, 0, 0));
 }
 
+#[test]
+fn what_is_invalid_by_itself_is_refused_on_a_forgotten_base_too() {
+    let mut stage = Stage::default();
+    for v in 1..=c::TAKEN_KEPT as u64 + 10 {
+        assert_eq!(send(&mut stage, &order(v - 1, v, "one")), Outcome::Applied);
+    }
+    let broken = ReplaceOrder {
+        base: 0,
+        body: b"{".to_vec(),
+        ..Default::default()
+    };
+    assert!(matches!(send(&mut stage, &broken), Outcome::Invalid(_)));
+    assert_eq!(send(&mut stage, &order(0, 1, "two")), Outcome::Unclear);
+}
+
 #[test]
 fn an_order_refused_ahead_of_its_base_stays_refused() {
     let mut stage = Stage::default();
--- a/crates/understage/src/scenarios/many_changes.rs
+++ b/crates/understage/src/scenarios/many_changes.rs
@@ -46,6 +46,7 @@
         run.change(ROUTES).await?;
     }
     send_again(run).await;
+    invalid_order(run).await;
     let zone = settings::zone(ZONE);
     run.evacuate(&zone).await?;
     restart_all(run).await?;
@@ -141,6 +142,24 @@
     ));
 }
 
+/// An order that is invalid by itself wants a 4xx, however old its base.
+async fn invalid_order(run: &mut Run) {
+    let mark = "bad-of-old";
+    let body = orders::invalid(1_000_000, mark);
+    for place in run.fleet.running() {
+        let asked = Asked::Invalid(mark.into());
+        let answer = run.operator.ask_with(asked, body.clone(), place).await;
+        if !matches!(answer, Answer::Refused(..)) {
+            run.broken(format!(
+                "an invalid order on base 0 is answered {answer:?} by node {}",
+                place.0
+            ));
+            return;
+        }
+    }
+    run.say("an invalid order on base 0 is refused by every node");
+}
+
 fn disks(run: &mut Run) {
     let mut largest = 0;
     for number in 1..=5 {
