--- /dev/null
+++ b/crates/rehearsal/src/checker/configuration.rs
@@ -0,0 +1,348 @@
+//! The configuration as a register with compare and set.
+
+use super::{Check, Seen};
+use crate::history::{Content, Request, Saw};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// Status of an order that was taken, that lost its race, and of an invalid one.
+const TAKEN: u16 = 200;
+const LOST: u16 = 412;
+const INVALID: u16 = 400;
+
+/// What is known of one order, over all its attempts and all who sent it alike.
+struct Order {
+    numbers: BTreeSet<u64>,
+    valid: bool,
+    /// Cannot have taken effect before.
+    first_sent: u64,
+    /// Had taken effect by then: it was acknowledged, read, or seen in a copy.
+    in_force: Option<u64>,
+    acknowledged: Option<u64>,
+    /// Refusals: sent, heard, status.
+    refused: Vec<(u64, u64, u16)>,
+}
+
+/// One read that was answered.
+struct Read {
+    sent: u64,
+    heard: u64,
+    /// `None`: there was no configuration yet.
+    content: Option<Content>,
+}
+
+/// An order of the chain, and between which times it took effect.
+#[derive(Clone, Copy, Debug)]
+struct Link {
+    content: Content,
+    from: u64,
+    to: u64,
+}
+
+pub(super) fn check(seen: &mut Seen) {
+    let mut orders = orders(seen);
+    let reads = reads(seen, &mut orders);
+    copies(seen, &mut orders);
+    single_orders(seen, &orders);
+    missed(seen, &orders, &reads);
+    let Some(chain) = chain(seen, &orders) else { return };
+    intervals(seen, &orders, &reads, chain);
+}
+
+fn orders(seen: &Seen) -> BTreeMap<Content, Order> {
+    let mut orders: BTreeMap<Content, Order> = BTreeMap::new();
+    for a in seen.attempts.values() {
+        let Request::Replace { content, valid } = a.request else {
+            continue;
+        };
+        let order = orders.entry(content).or_insert(Order {
+            numbers: BTreeSet::new(),
+            valid,
+            first_sent: a.sent,
+            in_force: None,
+            acknowledged: None,
+            refused: Vec::new(),
+        });
+        order.numbers.insert(a.order);
+        order.first_sent = order.first_sent.min(a.sent);
+        let Some((at, reply)) = &a.heard else { continue };
+        match reply.status {
+            TAKEN => {
+                order.in_force = earlier(order.in_force, *at);
+                order.acknowledged = earlier(order.acknowledged, *at);
+            }
+            LOST | INVALID => order.refused.push((a.sent, *at, reply.status)),
+            _ => {}
+        }
+    }
+    orders
+}
+
+fn earlier(known: Option<u64>, at: u64) -> Option<u64> {
+    Some(known.map_or(at, |k| k.min(at)))
+}
+
+fn reads(seen: &mut Seen, orders: &mut BTreeMap<Content, Order>) -> Vec<Read> {
+    let mut reads = Vec::new();
+    let mut unknown = Vec::new();
+    for (number, a) in &seen.attempts {
+        let (Request::Read, Some((heard, reply))) = (&a.request, &a.heard) else {
+            continue;
+        };
+        let content = match (reply.status, reply.read) {
+            (200, Some((version, digest))) => {
+                // Who sent the same body on two bases: the one in force is meant.
+                let alike = |c: &&Content| c.version == version && c.digest == digest;
+                let best = orders
+                    .keys()
+                    .filter(alike)
+                    .max_by_key(|c| orders[c].in_force.is_some());
+                let Some(content) = best.copied() else {
+                    unknown.push((
+                        *heard,
+                        format!("attempt {number} reads version {version}, which nobody sent so"),
+                    ));
+                    continue;
+                };
+                if let Some(order) = orders.get_mut(&content) {
+                    order.in_force = earlier(order.in_force, *heard);
+                }
+                Some(content)
+            }
+            (404, _) => None,
+            _ => continue,
+        };
+        reads.push(Read {
+            sent: a.sent,
+            heard: *heard,
+            content,
+        });
+    }
+    for (at, what) in unknown {
+        seen.fail(Check::UnknownInForce, at, what);
+    }
+    reads
+}
+
+/// What copies show is in force.
+fn copies(seen: &mut Seen, orders: &mut BTreeMap<Content, Order>) {
+    for event in seen.events {
+        let Saw::Applied { replica, .. } = &event.saw else {
+            continue;
+        };
+        let Some(content) = replica.content else { continue };
+        match orders.get_mut(&content) {
+            Some(order) => order.in_force = earlier(order.in_force, event.at),
+            None => {
+                let what = format!("{} has version {content}, which nobody sent", event.who);
+                seen.fail(Check::UnknownInForce, event.at, what);
+            }
+        }
+    }
+}
+
+/// What must hold of each order for itself, and of two on one base.
+fn single_orders(seen: &mut Seen, orders: &BTreeMap<Content, Order>) {
+    let mut on_base: BTreeMap<u64, (Content, u64)> = BTreeMap::new();
+    for (content, order) in orders {
+        let refused = order.refused.first();
+        if let (Some(since), Some((_, heard, status))) = (order.in_force, refused) {
+            let (check, at) = match order.refused.iter().find(|(_, heard, _)| *heard >= since) {
+                Some((_, heard, _)) => (Check::TakenRefused, *heard),
+                None => (Check::RefusedInForce, since),
+            };
+            let what = format!("version {content}: in force by {since}, refused with {status} at {heard}");
+            seen.fail(check, at, what);
+        }
+        for (_, at, status) in &order.refused {
+            if order.valid && *status == INVALID {
+                seen.fail(Check::ValidRefused, *at, format!("version {content} is valid"));
+            }
+        }
+        let Some(since) = order.in_force else { continue };
+        if !order.valid {
+            seen.fail(Check::InvalidInForce, since, format!("version {content}"));
+        }
+        if let Some((other, before)) = on_base.insert(content.base, (*content, since)) {
+            let what = format!("versions {other} and {content} were both taken");
+            seen.fail(Check::TwoForOneBase, since.max(before), what);
+        }
+    }
+}
+
+/// Reads that miss what was acknowledged before they were sent. Versions rise along
+/// the chain, so a lower one is an older one.
+fn missed(seen: &mut Seen, orders: &BTreeMap<Content, Order>, reads: &[Read]) {
+    let version = |r: &Read| r.content.map_or(0, |c| c.version);
+    let acknowledged = |before: u64| {
+        let by_then = orders
+            .iter()
+            .filter(|(_, o)| o.acknowledged.is_some_and(|at| at < before));
+        by_then.map(|(c, _)| c.version).max().unwrap_or(0)
+    };
+    for read in reads {
+        let newest = acknowledged(read.sent);
+        if version(read) >= newest {
+            continue;
+        }
+        let found_later = reads.iter().any(|r| r.heard > read.heard && version(r) >= newest);
+        let check = if found_later {
+            Check::StaleRead
+        } else {
+            Check::LostAfterAck
+        };
+        let what = format!(
+            "a read sent at {} finds version {}, {newest} had been acknowledged",
+            read.sent,
+            version(read)
+        );
+        seen.fail(check, read.heard, what);
+    }
+}
+
+/// Orders that were taken, from the first on, and those without a clear reply that
+/// must have been taken since others build on them.
+fn chain(seen: &mut Seen, orders: &BTreeMap<Content, Order>) -> Option<Vec<Link>> {
+    let mut taken: BTreeMap<u64, Content> = BTreeMap::new();
+    for (content, _) in orders.iter().filter(|(_, o)| o.in_force.is_some()) {
+        taken.insert(content.version, *content);
+    }
+    let mut missing: Vec<Content> = taken.values().copied().collect();
+    while let Some(content) = missing.pop() {
+        if content.base == 0 || taken.contains_key(&content.base) {
+            continue;
+        }
+        let unclear = orders
+            .iter()
+            .filter(|(c, o)| c.version == content.base && o.valid && o.refused.is_empty());
+        // Of several, the one sent first constrains least.
+        let Some((before, _)) = unclear.min_by_key(|(_, o)| o.first_sent) else {
+            let at = orders[&content].in_force.unwrap_or(0);
+            let what = format!("version {content} was taken, its base never was");
+            seen.fail(Check::Register, at, what);
+            return None;
+        };
+        taken.insert(before.version, *before);
+        missing.push(*before);
+    }
+    let mut base = 0;
+    let mut links = Vec::new();
+    for content in taken.into_values() {
+        if content.base != base {
+            let at = orders[&content].in_force.unwrap_or(0);
+            let what = format!("version {content} was taken on top of {base}");
+            seen.fail(Check::Register, at, what);
+            return None;
+        }
+        base = content.version;
+        let order = &orders[&content];
+        links.push(Link {
+            content,
+            from: order.first_sent,
+            to: order.in_force.unwrap_or(u64::MAX),
+        });
+    }
+    Some(links)
+}
+
+/// Whether each order of the chain can have its moment.
+fn intervals(seen: &mut Seen, orders: &BTreeMap<Content, Order>, reads: &[Read], mut chain: Vec<Link>) {
+    let position = |chain: &[Link], version: u64| chain.iter().position(|l| l.content.version == version);
+    for read in reads {
+        // What is read had taken effect by the reply, what follows it had not before
+        // the read was sent.
+        let next = match read.content {
+            None => 0,
+            Some(content) => match position(&chain, content.version) {
+                Some(i) => {
+                    chain[i].to = chain[i].to.min(read.heard);
+                    i + 1
+                }
+                None => continue,
+            },
+        };
+        if let Some(link) = chain.get_mut(next) {
+            link.from = link.from.max(read.sent);
+        }
+    }
+    loop {
+        for i in 1..chain.len() {
+            chain[i].from = chain[i].from.max(chain[i - 1].from);
+        }
+        for i in (1..chain.len()).rev() {
+            chain[i - 1].to = chain[i - 1].to.min(chain[i].to);
+        }
+        if let Some(link) = chain.iter().find(|l| l.from > l.to) {
+            let what = format!(
+                "version {} cannot have taken effect at any moment: not before {}, not after {}",
+                link.content, link.from, link.to
+            );
+            seen.fail(Check::Register, link.to, what);
+            return;
+        }
+        match refusals(seen, orders, &mut chain) {
+            Narrowed::Again => {}
+            Narrowed::Done => return,
+        }
+    }
+}
+
+enum Narrowed {
+    Again,
+    Done,
+}
+
+/// An order that lost its race found another version than its base: at some moment of
+/// each refused attempt the base was not yet, or no longer, in force.
+fn refusals(seen: &mut Seen, orders: &BTreeMap<Content, Order>, chain: &mut Vec<Link>) -> Narrowed {
+    let mut again = false;
+    for (content, order) in orders {
+        for (sent, heard, status) in &order.refused {
+            if *status != LOST {
+                continue;
+            }
+            let base = chain.iter().position(|l| l.content.version == content.base);
+            let next = match (content.base, base) {
+                (0, _) => 0,
+                // The base was never in force, or may have come later.
+                (_, None) => continue,
+                (_, Some(i)) if chain[i].to > *sent => continue,
+                (_, Some(i)) => i + 1,
+            };
+            if let Some(link) = chain.get_mut(next) {
+                if link.to > *heard {
+                    link.to = *heard;
+                    again = true;
+                }
+                continue;
+            }
+            let unclear: Vec<(&Content, &Order)> = orders
+                .iter()
+                .filter(|(c, o)| c.base == content.base && o.valid && o.refused.is_empty())
+                .filter(|(_, o)| o.first_sent <= *heard)
+                .collect();
+            match unclear.as_slice() {
+                [] => {
+                    let what = format!(
+                        "version {content} was refused from {sent} to {heard}, its base in force all the while"
+                    );
+                    seen.fail(Check::Register, *heard, what);
+                }
+                [(winner, o)] => {
+                    chain.push(Link {
+                        content: **winner,
+                        from: o.first_sent,
+                        to: *heard,
+                    });
+                    again = true;
+                }
+                // One of several: nothing more is known.
+                _ => {}
+            }
+        }
+    }
+    if again {
+        Narrowed::Again
+    } else {
+        Narrowed::Done
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/history.rs
@@ -0,0 +1,244 @@
+//! What operators, nodes, disks, links and workers of a run saw, each for itself, in
+//! the order of simulated time. [`crate::checker`] judges such a history; it knows
+//! nothing else of the run.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt;
+use std::hash::{DefaultHasher, Hash, Hasher};
+
+/// What a configuration is known by: the version that it builds on, its own, and a
+/// digest of its body.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Content {
+    pub base: u64,
+    pub version: u64,
+    pub digest: u64,
+}
+
+/// A digest of a body; the same in every run of one build.
+pub fn digest(body: &[u8]) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    body.hash(&mut hasher);
+    hasher.finish()
+}
+
+/// What an operator asks for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Request {
+    /// Whether the operator made it valid, which the system cannot be asked.
+    Replace {
+        content: Content,
+        valid: bool,
+    },
+    Evacuate {
+        zone: String,
+        begin: bool,
+    },
+    /// Reads back the configuration in force.
+    Read,
+}
+
+/// What came back to a call.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Reply {
+    pub status: u16,
+    /// The attempt that the reply was made for, as whoever made it wrote on it. The
+    /// operator cannot see this on the wire; a checker may.
+    pub made_for: u64,
+    /// Read back: version and digest of the body; `None` if there is none yet.
+    pub read: Option<(u64, u64)>,
+}
+
+/// One thing that somebody saw.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Saw {
+    /// An operator sends an order, or the same order again, to a node.
+    Sent {
+        order: u64,
+        attempt: u64,
+        to: String,
+        request: Request,
+    },
+    /// An operator gets a reply to an attempt.
+    Heard { attempt: u64, reply: Reply },
+    /// An operator waits for an attempt no longer. What became of it is unknown.
+    GaveUp { attempt: u64 },
+    /// A process began; lives of one node are numbered.
+    LifeBegan { life: u64 },
+    /// It ended: killed, or its power lost, or its disk too.
+    LifeEnded { life: u64, how: &'static str },
+    /// It leads from now on.
+    Leads { life: u64, term: u64 },
+    /// As leader it has these voters committed, by their addresses.
+    Roll { voters: Vec<String> },
+    /// It sends a reply to an attempt.
+    Replied { attempt: u64, status: u16 },
+    /// It has applied the log up to an index.
+    Applied { life: u64, replica: Replica },
+    /// It has applied one order, and whether that changed anything.
+    Effect {
+        life: u64,
+        index: u64,
+        order: u64,
+        /// The attempt that brought it into the log.
+        attempt: u64,
+        changed: bool,
+    },
+    /// A disk says that all up to an index lasts.
+    Synced { index: u64 },
+    /// A link stops, or starts, to carry what one node sends another.
+    Link { to: String, carries: bool },
+    /// A worker takes keys until a time, or gives them back (`until` is now).
+    Holds {
+        from: u32,
+        to: u32,
+        fence: u64,
+        until: u64,
+    },
+    /// What was done to somebody; for the reader only.
+    Trouble { what: String },
+}
+
+/// A node's copy of the control state at an index.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Replica {
+    pub index: u64,
+    /// A digest of the whole state.
+    pub digest: u64,
+    /// The configuration in force.
+    pub content: Option<Content>,
+    /// Evacuated zones and how many evacuations of each are in force.
+    pub evacuated: BTreeMap<String, u32>,
+}
+
+/// Somebody saw something at a simulated time (ms).
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Event {
+    pub at: u64,
+    pub who: String,
+    pub saw: Saw,
+}
+
+/// All that was seen, ordered by time; at equal times, by who wrote first.
+#[derive(Clone, Debug, Default)]
+pub struct History {
+    pub events: Vec<Event>,
+}
+
+impl History {
+    pub fn note(&mut self, at: u64, who: &str, saw: Saw) {
+        let who = who.to_string();
+        self.events.push(Event { at, who, saw });
+    }
+
+    /// The history for a person to read: without what disks report, and of what copies
+    /// show only who was first to apply an order, or to stand at an index that changed
+    /// the configuration or a zone.
+    pub fn trace(&self) -> String {
+        let mut lines = String::new();
+        let mut shown: BTreeSet<(u64, u64)> = BTreeSet::new();
+        let mut last: BTreeMap<&str, (Option<Content>, &BTreeMap<String, u32>)> = BTreeMap::new();
+        for event in &self.events {
+            match &event.saw {
+                Saw::Synced { .. } => continue,
+                Saw::Effect { index, order, .. } if !shown.insert((*index, *order)) => continue,
+                Saw::Applied { replica, .. } => {
+                    let now = (replica.content, &replica.evacuated);
+                    let same = last.insert(&event.who, now) == Some(now);
+                    if same || !shown.insert((replica.index, u64::MAX)) {
+                        continue;
+                    }
+                }
+                _ => {}
+            }
+            lines.push_str(&format!("{event}\n"));
+        }
+        lines
+    }
+}
+
+impl fmt::Display for Content {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{} on {} ({:04x})",
+            self.version,
+            self.base,
+            self.digest & 0xffff
+        )
+    }
+}
+
+impl fmt::Display for Request {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Request::Replace { content, valid } => {
+                write!(f, "version {content}{}", if *valid { "" } else { ", invalid" })
+            }
+            Request::Evacuate { zone, begin: true } => write!(f, "begin evacuation of {zone}"),
+            Request::Evacuate { zone, .. } => write!(f, "finish evacuation of {zone}"),
+            Request::Read => write!(f, "read back"),
+        }
+    }
+}
+
+impl fmt::Display for Event {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:>7} {:<10} ", self.at, self.who)?;
+        match &self.saw {
+            Saw::Sent {
+                order,
+                attempt,
+                to,
+                request,
+            } => write!(f, "sends order {order} to {to} as attempt {attempt}: {request}"),
+            Saw::Heard { attempt, reply } => {
+                write!(f, "hears {} to attempt {attempt}", reply.status)?;
+                if reply.made_for != *attempt {
+                    write!(f, ", made for attempt {}", reply.made_for)?;
+                }
+                match reply.read {
+                    Some((version, digest)) => write!(f, ": version {version} ({:04x})", digest & 0xffff),
+                    None => Ok(()),
+                }
+            }
+            Saw::GaveUp { attempt } => write!(f, "waits for attempt {attempt} no longer"),
+            Saw::LifeBegan { life } => write!(f, "starts, life {life}"),
+            Saw::LifeEnded { life, how } => write!(f, "ends life {life}: {how}"),
+            Saw::Leads { life, term } => write!(f, "leads in term {term}, life {life}"),
+            Saw::Roll { voters } => write!(f, "has the voters {}", voters.join(" ")),
+            Saw::Replied { attempt, status } => write!(f, "replies {status} to attempt {attempt}"),
+            Saw::Applied { replica, .. } => {
+                write!(f, "stands at index {}", replica.index)?;
+                if let Some(content) = replica.content {
+                    write!(f, ", version {content}")?;
+                }
+                if !replica.evacuated.is_empty() {
+                    write!(f, ", evacuated {:?}", replica.evacuated)?;
+                }
+                Ok(())
+            }
+            Saw::Effect {
+                index,
+                order,
+                attempt,
+                changed,
+                ..
+            } => write!(
+                f,
+                "applies order {order} of attempt {attempt} at index {index}: {}",
+                if *changed { "changed" } else { "no change" }
+            ),
+            Saw::Synced { index } => write!(f, "disk holds up to index {index}"),
+            Saw::Link { to, carries: true } => write!(f, "reaches {to} again"),
+            Saw::Link { to, .. } => write!(f, "no longer reaches {to}"),
+            Saw::Holds {
+                from,
+                to,
+                fence,
+                until,
+            } => write!(f, "holds keys {from} to {to} until {until}, fence {fence}"),
+            Saw::Trouble { what } => write!(f, "-- {what}"),
+        }
+    }
+}
