Random worlds with operators, judged by the checker of histories

Cause: the world had one caller that knew who leads, no lost answers, no frozen process, and ended at the first assert.

Change: front.rs deals with orders as playhouse does (the same judge_order, repeated, Calls, bears_loss); two operators with up to eight orders under way each send them to any node and again after silence; faults.rs makes plans that shrink; run.rs plays them, a disk is lost only inside Tolerance. example explore searches, replays by one line, makes a failing world smaller and tells it. World: nodes freeze, messages carry who sent them when they were sent, check gives its word back and the run may go on; duties of a leader wait until it has applied what is committed, as in the program (a key with two holders in one world was the world's fault).

Ruled out: time to catch up that runs off while more than Tolerance is down (no core of three can repair its roll without a majority).

A search ended by the clock would pass or fail by the machine's load.

--- /dev/null
+++ b/crates/rehearsal/examples/explore.rs
@@ -0,0 +1,148 @@
+//! Searches random worlds for what breaks a promise.
+//!
+//! ```text
+//! cargo run --release -p rehearsal --example explore -- --worlds 10000 --seed 1
+//! cargo run --release -p rehearsal --example explore -- --replay 4711
+//! ```
+
+use clap::Parser;
+use rehearsal::faults::Tree;
+use rehearsal::front::Mutant;
+use rehearsal::run::{verdict, Reached};
+use std::cell::Cell;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::Mutex;
+use std::time::Instant;
+
+#[derive(Parser)]
+#[command(about = "Plays random worlds and judges what was seen of them")]
+struct Args {
+    /// How many worlds to play.
+    #[arg(long, default_value_t = 1000)]
+    worlds: u64,
+    /// The seed of the first world; the others follow one by one.
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Threads to play on.
+    #[arg(long, default_value_t = 2)]
+    jobs: usize,
+    /// Most steps of a world.
+    #[arg(long, default_value_t = 60)]
+    steps: usize,
+    /// Plays one world, makes it as small as it fails, and tells what happened.
+    #[arg(long)]
+    replay: Option<u64>,
+    /// Tells what happened in the whole world, not in the smallest one that fails.
+    #[arg(long)]
+    whole: bool,
+    /// Ends the search after so many seconds.
+    #[arg(long, default_value_t = 3600)]
+    seconds: u64,
+}
+
+thread_local! {
+    static SEED: Cell<u64> = const { Cell::new(0) };
+}
+
+/// Tries to make a failing world smaller.
+const SMALLER: usize = 1500;
+
+fn replay_line(seed: u64, steps: usize) -> String {
+    format!("cargo run --release -p rehearsal --example explore -- --steps {steps} --replay {seed}")
+}
+
+fn main() {
+    let args = Args::parse();
+    let before = std::panic::take_hook();
+    let steps = args.steps;
+    std::panic::set_hook(Box::new(move |panic| {
+        println!("panic: replay with: {}", replay_line(SEED.get(), steps));
+        before(panic);
+    }));
+    match args.replay {
+        Some(seed) => replay(seed, &args),
+        None => search(&args),
+    }
+}
+
+fn replay(seed: u64, args: &Args) {
+    SEED.set(seed);
+    let Ok(mut tree) = Tree::of_seed(seed, args.steps) else {
+        println!("seed {seed} makes no world");
+        return;
+    };
+    let (_, wrong, _) = verdict(&tree.plan(), Mutant::None);
+    let mut plan = tree.plan();
+    if let (false, Some(first)) = (args.whole, wrong.first()) {
+        // The same kind of failure: its first word.
+        let kind = first.split_whitespace().next().unwrap_or("").to_string();
+        let fails = |plan: &_| verdict(plan, Mutant::None).1.iter().any(|w| w.starts_with(&kind));
+        plan = tree.smallest(SMALLER, fails);
+    }
+    let (reached, wrong, history) = verdict(&plan, Mutant::None);
+    println!(
+        "{} disks, {} without, seed {}",
+        plan.disks, plan.others, plan.seed
+    );
+    for step in &plan.steps {
+        println!("  after {:>4} ms {:?}", step.after, step.what);
+    }
+    println!("{}", history.trace());
+    println!("{reached:?}");
+    for w in &wrong {
+        println!("WRONG {w}");
+    }
+    std::process::exit(i32::from(!wrong.is_empty()));
+}
+
+fn search(args: &Args) {
+    let next = AtomicU64::new(0);
+    let begun = Instant::now();
+    let total = Mutex::new((Reached::default(), 0u64, 0u64));
+    let failing: Mutex<BTreeMap<u64, Vec<String>>> = Mutex::default();
+    std::thread::scope(|scope| {
+        for _ in 0..args.jobs {
+            scope.spawn(|| loop {
+                let i = next.fetch_add(1, Ordering::Relaxed);
+                if i >= args.worlds || begun.elapsed().as_secs() >= args.seconds {
+                    return;
+                }
+                let seed = args.seed + i;
+                SEED.set(seed);
+                let Ok(tree) = Tree::of_seed(seed, args.steps) else {
+                    continue;
+                };
+                let (reached, wrong, history) = verdict(&tree.plan(), Mutant::None);
+                if let Ok(mut total) = total.lock() {
+                    total.0.add(&reached);
+                    total.1 += history.events.len() as u64;
+                    total.2 += 1;
+                }
+                if let (false, Ok(mut failing)) = (wrong.is_empty(), failing.lock()) {
+                    println!("FAILS {}\n  replay: {}", wrong[0], replay_line(seed, args.steps));
+                    failing.insert(seed, wrong);
+                }
+            });
+        }
+    });
+    let (reached, events, worlds) = total.into_inner().unwrap_or_default();
+    let failing = failing.into_inner().unwrap_or_default();
+    let seconds = begun.elapsed().as_secs_f64().max(0.001);
+    println!(
+        "{worlds} worlds from seed {} in {seconds:.1} s: {:.1} a second; {events} events",
+        args.seed,
+        worlds as f64 / seconds
+    );
+    println!("reached: {reached:?}");
+    let mut kinds: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+    for (seed, wrong) in &failing {
+        let kind = wrong[0].split_whitespace().next().unwrap_or("");
+        kinds.entry(kind).or_insert((0, *seed)).0 += 1;
+    }
+    for (kind, (count, seed)) in kinds {
+        println!("{count} fail with {kind}, the first at seed {seed}");
+    }
+    println!("{} failing worlds", failing.len());
+    std::process::exit(i32::from(!failing.is_empty()));
+}
--- a/crates/rehearsal/src/disk.rs
+++ b/crates/rehearsal/src/disk.rs
@@ -73,6 +73,12 @@
         }
     }
 
+    /// The last entry that lasts, be it in the log or folded into the snapshot.
+    pub fn last_index(&self) -> u64 {
+        let last = self.saved.entries.last();
+        last.map_or(0, |e| e.index).max(self.saved.snapshot.index)
+    }
+
     pub fn load(&self) -> Saved {
         self.saved.clone()
     }
--- /dev/null
+++ b/crates/rehearsal/src/front.rs
@@ -0,0 +1,477 @@
+//! How a node deals with orders that reach it: carries them out if it leads, or passes
+//! them to whom it believes leads, as `playhouse` does. The log judges them, or a copy
+//! that a majority has confirmed since they came.
+
+use crate::history::{digest, Reply, Request};
+use crate::node::{Did, Life};
+use crate::world::LOSSES;
+use playbill::constants as c;
+use playbill::ledger::key_of;
+use playbill::letters::{self, ChangeKind, EvacuationChange, OrderTag, ReplaceOrder, TakenOrder};
+use playbill::stage::{encode_order, Judgement, Outcome};
+use playbill::{CallId, Calls};
+use prompter::{bears, bears_loss};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// What may be wrong with a front, planted to see that the checker finds it.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mutant {
+    #[default]
+    None,
+    /// A leader refuses out of its own copy, without the log, however long it has heard
+    /// nobody.
+    RefusesByCopy,
+    /// It acknowledges once an order is in its own log.
+    AcknowledgesEarly,
+    /// It answers reads out of its copy, without a round, however long it has heard nobody.
+    ReadsCopy,
+    /// Calls are paired with answers by a number that restarts with the process.
+    PairsByNumber,
+    /// Whoever waits for an index is told what came of whatever stands there, also when
+    /// another has taken the lead.
+    IgnoresTerm,
+    /// Orders without a base carry no tag.
+    SendsNoTag,
+}
+
+/// An order as it travels.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// The number of the order, and of the attempt that it was sent in; the system
+    /// does not look at them.
+    pub number: u64,
+    pub attempt: u64,
+    pub request: Request,
+    pub body: Vec<u8>,
+    /// What it is known by that names no base; given by the node that it reaches.
+    pub tag: Option<OrderTag>,
+}
+
+/// Who waits for an order.
+#[derive(Clone, Debug)]
+pub enum Origin {
+    /// The connection of an attempt.
+    Operator { attempt: u64 },
+    /// A node that passed it on.
+    Node { name: String, id: CallId },
+}
+
+#[derive(Clone, Copy, Debug)]
+enum State {
+    /// Looks at a time for whoever leads.
+    Routing { at: u64 },
+    /// Passed on; the answer is paired by the number.
+    Called,
+    /// In the log at an index and term.
+    Logged { index: u64, term: u64 },
+    /// Taken; waits until it rests on enough copies.
+    Spreading { index: u64, since: u64 },
+    /// Waits for a majority to confirm this copy.
+    Reading { token: u64, until: u64 },
+}
+
+struct Errand {
+    origin: Origin,
+    order: Order,
+    since: u64,
+    state: State,
+    /// A majority has confirmed this copy since the order came.
+    after_read: bool,
+}
+
+/// An order in the log: what it is known by, where it stands.
+struct Proposal {
+    key: Option<TakenOrder>,
+    tag: Option<OrderTag>,
+    index: u64,
+    term: u64,
+}
+
+/// What a front wants done.
+pub enum Act {
+    /// Sends an order to another node.
+    Pass {
+        to: u64,
+        id: CallId,
+        order: Order,
+    },
+    Respond {
+        origin: Origin,
+        reply: Reply,
+    },
+    /// An order stands in the log at an index and term.
+    Logged {
+        index: u64,
+        term: u64,
+        order: u64,
+        attempt: u64,
+    },
+}
+
+/// Status of an answer between nodes that says: I do not lead.
+const NOT_LEADER: u16 = 0;
+const TAKEN: u16 = 200;
+const NONE_YET: u16 = 404;
+const LOST: u16 = 412;
+/// Other nodes may know better.
+const ELSEWHERE: u16 = 307;
+const UNAVAILABLE: u16 = 503;
+
+/// The orders that one life of a node deals with.
+pub struct Front {
+    pub life: u64,
+    calls: Calls<u64, u64>,
+    errands: BTreeMap<u64, Errand>,
+    next: u64,
+    /// When orders of the ledger were first seen here, by index.
+    orders_seen: BTreeMap<u64, u64>,
+    /// Orders in the log that are not applied yet.
+    under_way: Vec<Proposal>,
+    mutant: Mutant,
+}
+
+impl Front {
+    pub fn new(life: u64, mutant: Mutant) -> Front {
+        let drawn = if mutant == Mutant::PairsByNumber { 0 } else { life };
+        Front {
+            life,
+            calls: Calls::new(playbill::Life(drawn), c::CALL_WAIT_MS),
+            errands: BTreeMap::new(),
+            next: 0,
+            orders_seen: BTreeMap::new(),
+            under_way: Vec::new(),
+            mutant,
+        }
+    }
+
+    /// An order reaches this node.
+    pub fn take(&mut self, now: u64, node: &Life, origin: Origin, mut order: Order) {
+        self.next += 1;
+        if let (Origin::Operator { .. }, Request::Evacuate { zone, begin }) = (&origin, &order.request) {
+            let digests = letters::Order::Evacuate(evacuation(zone, *begin)).digests();
+            let tag = digests.map(|(subject, digest)| OrderTag {
+                life: self.life,
+                number: self.next,
+                as_of: node.stage.index,
+                subject,
+                digest,
+                again: 0,
+                cautious: !begin,
+            });
+            order.tag = tag.filter(|_| self.mutant != Mutant::SendsNoTag);
+        }
+        let errand = Errand {
+            origin,
+            order,
+            since: now,
+            state: State::Routing { at: now },
+            after_read: false,
+        };
+        self.errands.insert(self.next, errand);
+    }
+
+    /// An answer of another node to what was passed on.
+    pub fn answered(&mut self, now: u64, from: u64, id: CallId, reply: Reply) -> Vec<Act> {
+        let Some(number) = self.calls.finish(&self.peer(from), id, now) else {
+            return Vec::new();
+        };
+        if reply.status == NOT_LEADER {
+            if let Some(errand) = self.errands.get_mut(&number) {
+                errand.state = State::Routing {
+                    at: now + c::CALL_RETRY_MS,
+                };
+            }
+            return Vec::new();
+        }
+        let Some(errand) = self.errands.remove(&number) else {
+            return Vec::new();
+        };
+        vec![Act::Respond {
+            origin: errand.origin,
+            reply,
+        }]
+    }
+
+    /// What tells a peer from others.
+    fn peer(&self, id: u64) -> u64 {
+        if self.mutant == Mutant::PairsByNumber {
+            0
+        } else {
+            id
+        }
+    }
+
+    /// One step of time, after the node has done what `did` says.
+    pub fn step(&mut self, now: u64, node: &mut Life, did: &Did) -> Vec<Act> {
+        let mut acts = Vec::new();
+        let known: BTreeSet<u64> = node.stage.ledger.indexes().collect();
+        self.orders_seen.retain(|index, _| known.contains(index));
+        for index in known {
+            self.orders_seen.entry(index).or_insert(now);
+        }
+        let leads = node.prompter.is_leader();
+        let stands = node.stage.index;
+        let numbers: Vec<u64> = self.errands.keys().copied().collect();
+        for number in numbers {
+            let Some(mut errand) = self.errands.remove(&number) else {
+                continue;
+            };
+            match self.advance(now, node, did, number, &mut errand, &mut acts) {
+                Some(reply) => acts.push(Act::Respond {
+                    origin: errand.origin,
+                    reply,
+                }),
+                None => drop(self.errands.insert(number, errand)),
+            }
+        }
+        self.under_way.retain(|p| leads && p.index > stands);
+        acts
+    }
+
+    /// Brings an order on as far as it goes now; the reply, if that is its end.
+    fn advance(
+        &mut self,
+        now: u64,
+        node: &mut Life,
+        did: &Did,
+        number: u64,
+        errand: &mut Errand,
+        acts: &mut Vec<Act>,
+    ) -> Option<Reply> {
+        let made_for = errand.order.attempt;
+        let reply = |status| Reply {
+            status,
+            made_for,
+            read: None,
+        };
+        let from_operator = matches!(errand.origin, Origin::Operator { .. });
+        if from_operator && now >= errand.since + c::CALL_WAIT_MS {
+            return Some(reply(UNAVAILABLE));
+        }
+        // Who does not lead after all: looks again, or says so to who passed it on.
+        let not_leader = |errand: &mut Errand| {
+            errand.state = State::Routing {
+                at: now + c::CALL_RETRY_MS,
+            };
+            (!from_operator).then(|| reply(NOT_LEADER))
+        };
+        match errand.state {
+            State::Routing { at } if now < at => None,
+            State::Routing { .. } => {
+                let silent = match self.mutant {
+                    Mutant::RefusesByCopy | Mutant::ReadsCopy if node.prompter.is_leader() => 0,
+                    _ => now.saturating_sub(node.prompter.contact_at(now)),
+                };
+                let began = !node.prompter.roll().voters.is_empty();
+                if from_operator && began && silent >= c::OUT_OF_CONTACT_MS {
+                    return Some(reply(ELSEWHERE));
+                }
+                if node.prompter.is_leader() && (!from_operator || silent < c::ELECTION_MIN_MS) {
+                    return match self.carry_out(now, node, errand, acts) {
+                        Ok(state) => {
+                            errand.state = state;
+                            None
+                        }
+                        Err(NOT_LEADER) => not_leader(errand),
+                        Err(status) => {
+                            let read = self.read_back(node).filter(|_| status == TAKEN);
+                            Some(Reply {
+                                read,
+                                ..reply(status)
+                            })
+                        }
+                    };
+                }
+                let leader = node.prompter.leader();
+                if !from_operator || leader == 0 || node.prompter.is_leader() {
+                    return not_leader(errand);
+                }
+                let id = self.calls.begin(self.peer(leader), now, number);
+                errand.state = State::Called;
+                acts.push(Act::Pass {
+                    to: leader,
+                    id,
+                    order: errand.order.clone(),
+                });
+                None
+            }
+            State::Called => None,
+            State::Logged { index, term } => {
+                let here = did.applied.iter().find(|(i, _, _)| *i == index);
+                match here {
+                    Some((_, t, outcome)) if *t == term || self.mutant == Mutant::IgnoresTerm => {
+                        match outcome {
+                            Some(Outcome::Applied | Outcome::Already)
+                                if self.mutant == Mutant::IgnoresTerm =>
+                            {
+                                Some(reply(TAKEN))
+                            }
+                            Some(Outcome::Applied | Outcome::Already) => {
+                                errand.state = State::Spreading { index, since: now };
+                                None
+                            }
+                            Some(outcome) => Some(reply(status_of(outcome))),
+                            None => Some(reply(UNAVAILABLE)),
+                        }
+                    }
+                    Some(_) => not_leader(errand),
+                    None if !node.prompter.is_leader() && self.mutant != Mutant::IgnoresTerm => {
+                        not_leader(errand)
+                    }
+                    None => None,
+                }
+            }
+            // An acknowledgement rests on copies that bear any loss inside `Tolerance`, and
+            // waits a little for the nodes in contact to apply it.
+            State::Spreading { index, since } => {
+                let prompter = &node.prompter;
+                if !prompter.is_settled() {
+                    return not_leader(errand);
+                }
+                if !bears_loss(prompter, index, now, LOSSES, c::CONTACT_MS) {
+                    return (now >= since + c::CALL_WAIT_MS).then(|| reply(UNAVAILABLE));
+                }
+                let voters = prompter.roll().voters.iter();
+                let behind = voters
+                    .filter_map(|v| prompter.progress(v.id))
+                    .any(|p| now.saturating_sub(p.heard_at) < c::CONTACT_MS && p.applied < index);
+                (now >= since + c::APPLY_WAIT_MS || !behind).then(|| reply(TAKEN))
+            }
+            State::Reading { token, until } => match did.reads.iter().find(|(t, _)| *t == token) {
+                Some((_, true)) if errand.order.request != Request::Read => {
+                    errand.after_read = true;
+                    errand.state = State::Routing { at: now };
+                    None
+                }
+                Some((_, true)) => {
+                    let read = self.read_back(node);
+                    let status = if read.is_some() { TAKEN } else { NONE_YET };
+                    Some(Reply {
+                        read,
+                        ..reply(status)
+                    })
+                }
+                None if now < until => None,
+                _ => not_leader(errand),
+            },
+        }
+    }
+
+    /// What this node's copy says is in force.
+    fn read_back(&self, node: &Life) -> Option<(u64, u64)> {
+        let version = node.stage.version();
+        (version > 0).then(|| (version, digest(&node.stage.config_body)))
+    }
+
+    /// Waits for a majority to confirm this copy.
+    fn confirm(&mut self, now: u64, node: &mut Life) -> State {
+        self.next += 1;
+        node.prompter.read(self.next);
+        State::Reading {
+            token: self.next,
+            until: now + c::CALL_WAIT_MS,
+        }
+    }
+
+    /// Carries an order out on the leader: how it goes on, or the status that ends it.
+    fn carry_out(
+        &mut self,
+        now: u64,
+        node: &mut Life,
+        errand: &Errand,
+        acts: &mut Vec<Act>,
+    ) -> Result<State, u16> {
+        if !node.prompter.is_settled() {
+            return Err(NOT_LEADER);
+        }
+        if errand.order.request != Request::Read && !bears(node.prompter.roll(), LOSSES) {
+            return Err(UNAVAILABLE);
+        }
+        let (kind, key, tag) = match &errand.order.request {
+            Request::Read if self.mutant == Mutant::ReadsCopy => {
+                return Err(if node.stage.version() > 0 { TAKEN } else { NONE_YET });
+            }
+            Request::Read => return Ok(self.confirm(now, node)),
+            Request::Replace { content, .. } => {
+                let replace = ReplaceOrder {
+                    base: content.base,
+                    body: errand.order.body.clone(),
+                    ..Default::default()
+                };
+                if self.mutant == Mutant::RefusesByCopy && content.base != node.stage.version() {
+                    return Err(LOST);
+                }
+                match node.stage.judge_order(&replace, errand.after_read) {
+                    Judgement::Log => {}
+                    Judgement::Confirm => return Ok(self.confirm(now, node)),
+                    // Taken before: it stands at or below what is committed.
+                    Judgement::Final(Outcome::Already | Outcome::Applied) => {
+                        let index = node.prompter.commit();
+                        return Ok(State::Spreading { index, since: now });
+                    }
+                    Judgement::Final(outcome) => return Err(status_of(&outcome)),
+                }
+                let key = key_of(&replace);
+                if let Some(p) = self.under_way.iter().find(|p| p.key.as_ref() == Some(&key)) {
+                    return Ok(State::Logged {
+                        index: p.index,
+                        term: p.term,
+                    });
+                }
+                (ChangeKind::Replace(replace), Some(key), None)
+            }
+            Request::Evacuate { zone, begin } => {
+                let tag = errand.order.tag.clone().map(|tag| {
+                    let under_way = self.under_way.iter();
+                    let under_way = under_way.filter_map(|p| Some((p.index, p.tag.as_ref()?)));
+                    let recent = |index: u64| {
+                        let at = self.orders_seen.get(&index);
+                        at.is_some_and(|at| now.saturating_sub(*at) < c::SAME_ORDER_MS)
+                    };
+                    let again = node.stage.ledger.repeated(&tag, under_way, recent);
+                    OrderTag {
+                        again: again.unwrap_or(0),
+                        ..tag
+                    }
+                });
+                (ChangeKind::Evacuate(evacuation(zone, *begin)), None, tag)
+            }
+        };
+        let data = encode_order(kind, tag.clone());
+        let (index, term) = node.prompter.propose(data).ok_or(NOT_LEADER)?;
+        self.under_way.push(Proposal {
+            key,
+            tag,
+            index,
+            term,
+        });
+        acts.push(Act::Logged {
+            index,
+            term,
+            order: errand.order.number,
+            attempt: errand.order.attempt,
+        });
+        if self.mutant == Mutant::AcknowledgesEarly {
+            return Err(TAKEN);
+        }
+        Ok(State::Logged { index, term })
+    }
+}
+
+fn evacuation(zone: &str, begin: bool) -> EvacuationChange {
+    EvacuationChange {
+        zone: zone.into(),
+        begin,
+    }
+}
+
+/// The status that tells what came of an order.
+fn status_of(outcome: &Outcome) -> u16 {
+    match outcome {
+        Outcome::Applied | Outcome::Already => TAKEN,
+        Outcome::Lost(_) => LOST,
+        Outcome::Invalid(_) => 400,
+        Outcome::Refused(_) => 409,
+        Outcome::Unclear => UNAVAILABLE,
+    }
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -5,8 +5,11 @@
 
 pub mod checker;
 pub mod disk;
+pub mod faults;
+pub mod front;
 pub mod history;
 pub mod node;
+pub mod run;
 pub mod script;
 pub mod workers;
 pub mod world;
--- a/crates/rehearsal/src/node.rs
+++ b/crates/rehearsal/src/node.rs
@@ -69,6 +69,14 @@
     pub sent: Vec<(u64, Cue)>,
     /// Orders settled: name, order, outcome.
     pub settled: Vec<(String, ReplaceOrder, Option<Outcome>)>,
+    /// Entries applied: index, term, and for a change its outcome.
+    pub applied: Vec<(u64, u64, Option<Outcome>)>,
+    /// Reads that may be answered from the copy, or may not, by token.
+    pub reads: Vec<(u64, bool)>,
+    /// It took its state from a snapshot.
+    pub installed: bool,
+    /// It serves what is older than was acknowledged.
+    pub wrong: Option<String>,
 }
 
 impl Node {
@@ -147,7 +155,9 @@
                 Some(_) if life.written == life.done => did.sent.extend(effects.after),
                 Some(_) => life.waiting.push_back((life.written, effects.after, last)),
             }
+            did.reads.extend(effects.reads);
             if let Some(snapshot) = effects.install {
+                did.installed = true;
                 if snapshot.index > life.stage.index {
                     let stage = Stage::from_snapshot(snapshot.index, &snapshot.data);
                     life.stage = stage.expect("the agreement takes none that cannot be read");
@@ -165,6 +175,7 @@
                     life.stage.index = life.stage.index.max(entry.index);
                 }
                 life.prompter.applied(entry.index);
+                did.applied.push((entry.index, entry.term, outcome.clone()));
                 let (settled, rest) = std::mem::take(&mut life.orders)
                     .into_iter()
                     .partition(|o| o.index == entry.index);
@@ -188,11 +199,9 @@
         if !life.current && life.prompter.is_current() {
             life.current = true;
             let version = life.stage.version();
-            assert!(
-                version >= life.acked_before,
-                "{} serves version {version} at {now}",
-                self.name
-            );
+            if version < life.acked_before {
+                did.wrong = Some(format!("{} serves version {version} at {now}", self.name));
+            }
         }
         did
     }
--- a/crates/rehearsal/src/workers.rs
+++ b/crates/rehearsal/src/workers.rs
@@ -19,6 +19,8 @@
     pub mute: bool,
     held: Vec<Held>,
     seen: Vec<Held>,
+    /// What it took and gave back, and since when: from, to, fence, until.
+    pub took: Vec<(u32, u32, u64, u64)>,
 }
 
 impl StandIn {
@@ -29,6 +31,7 @@
             mute: false,
             held: Vec::new(),
             seen: Vec::new(),
+            took: Vec::new(),
         }
     }
 
@@ -47,6 +50,7 @@
             fence: h.fence,
             until: now + hold_ms * 102 / 100,
         };
+        self.took.push((h.from, h.to, h.fence, held.until));
         self.cut(h.from, h.to);
         self.held.push(held.clone());
         self.seen.push(held);
@@ -54,6 +58,7 @@
     }
 
     pub fn release(&mut self, h: &Holding) -> Released {
+        self.took.push((h.from, h.to, h.fence, 0));
         self.cut(h.from, h.to);
         Released::Yes(format!("from-{}", self.listed.id))
     }
--- a/crates/rehearsal/src/world.rs
+++ b/crates/rehearsal/src/world.rs
@@ -1,7 +1,7 @@
 //! The simulated world: nodes, links, the platform and workers.
 
 use crate::disk::Disk;
-use crate::node::{Life, Node, Pending};
+use crate::node::{Did, Life, Node, Pending};
 use crate::workers::StandIn;
 use playbill::constants as c;
 use playbill::letters::*;
@@ -12,17 +12,18 @@
 use std::collections::{BTreeMap, BTreeSet};
 use wardrobe::{Act, GrantCall, Granted, ReleaseCall, Released};
 
-const LOSSES: Losses = Losses {
+pub const LOSSES: Losses = Losses {
     machines: 1,
     zones: 1,
     regions: 1,
 };
-/// The cluster that every node belongs to once it has begun.
-const STEP_MS: u64 = 10;
+/// One step of time, ms.
+pub const STEP_MS: u64 = 10;
 
 enum Flight {
     Cue {
         from: String,
+        sender: u64,
         to: u64,
         cue: Cue,
     },
@@ -78,6 +79,13 @@
     /// When the link of a narrow machine will have carried what waits for it, us, by
     /// machine and whether it goes out.
     carried_at: BTreeMap<(String, bool), u64>,
+    /// Nodes that stand still: what is sent to them waits.
+    pub frozen: BTreeSet<String>,
+    /// Whether what must hold ends the run at once; else it is kept in `wrong`.
+    pub strict: bool,
+    pub wrong: Vec<String>,
+    /// What the nodes did in the last step.
+    pub did: Vec<(String, Did)>,
 }
 
 impl World {
@@ -100,6 +108,10 @@
             lag_ms: 0,
             narrow: BTreeMap::new(),
             carried_at: BTreeMap::new(),
+            frozen: BTreeSet::new(),
+            strict: true,
+            wrong: Vec::new(),
+            did: Vec::new(),
         }
     }
 
@@ -191,18 +203,32 @@
     pub fn run(&mut self, ms: u64) {
         let end = self.now + ms;
         while self.now < end {
-            self.now += STEP_MS;
-            self.deliver();
-            self.follow();
-            self.lead();
-            let names: Vec<String> = self.nodes.keys().cloned().collect();
-            for name in names {
-                self.step(&name);
-            }
-            self.check();
+            self.tick();
+        }
+    }
+
+    /// One step of time.
+    pub fn tick(&mut self) {
+        self.now += STEP_MS;
+        self.did.clear();
+        self.deliver();
+        self.follow();
+        self.lead();
+        let runs = |n: &&String| !self.frozen.contains(*n);
+        let names: Vec<String> = self.nodes.keys().filter(runs).cloned().collect();
+        for name in names {
+            self.step(&name);
+        }
+        if let Err(what) = self.check() {
+            self.fail(what);
         }
     }
 
+    fn fail(&mut self, what: String) {
+        assert!(!self.strict, "{what}");
+        self.wrong.push(what);
+    }
+
     fn step(&mut self, name: &str) {
         let now = self.now;
         let Some(node) = self.nodes.get_mut(name) else {
@@ -214,13 +240,17 @@
                 life.prompter.leave(now);
             }
         }
-        let did = node.flush(now);
-        for (to, cue) in did.sent {
+        let mut did = node.flush(now);
+        for (to, cue) in std::mem::take(&mut did.sent) {
             self.send(name, to, cue);
         }
-        for (order, replace, outcome) in did.settled {
+        for (order, replace, outcome) in std::mem::take(&mut did.settled) {
             self.settle(order, &replace, outcome);
         }
+        if let Some(what) = did.wrong.take() {
+            self.fail(what);
+        }
+        self.did.push((name.to_string(), did));
     }
 
     fn settle(&mut self, order: String, replace: &ReplaceOrder, outcome: Option<Outcome>) {
@@ -244,10 +274,12 @@
         let out = self.carry(from, true, self.now, bytes);
         let latency = self.latency(from, &name);
         let at = self.carry(&name, false, out + latency, bytes);
+        let sender = self.nodes.get(from).map_or(0, Node::id);
         self.flights.push((
             at,
             Flight::Cue {
                 from: from.into(),
+                sender,
                 to,
                 cue,
             },
@@ -268,14 +300,20 @@
 
     fn deliver(&mut self) {
         let now = self.now;
+        let frozen: BTreeSet<u64> = self
+            .frozen
+            .iter()
+            .filter_map(|n| self.nodes.get(n))
+            .map(Node::id)
+            .collect();
+        let waits = |f: &Flight| matches!(f, Flight::Cue { to, .. } if frozen.contains(to));
         let (due, rest): (Vec<_>, Vec<_>) = std::mem::take(&mut self.flights)
             .into_iter()
-            .partition(|(at, _)| *at <= now);
+            .partition(|(at, flight)| *at <= now && !waits(flight));
         self.flights = rest;
         for (_, flight) in due {
             match flight {
-                Flight::Cue { from, to, cue } => {
-                    let sender = self.nodes.get(&from).map_or(0, Node::id);
+                Flight::Cue { sender, to, cue, .. } => {
                     if let Some(life) = self
                         .nodes
                         .values_mut()
@@ -390,7 +428,9 @@
             silent: c::SOURCE_SILENT_MS,
             shun: c::SOURCE_SHUN_MS,
         };
-        for node in self.nodes.values_mut().filter(|n| n.disk.is_none()) {
+        let frozen = &self.frozen;
+        let runs = |n: &&mut Node| n.disk.is_none() && !frozen.contains(&n.name);
+        for node in self.nodes.values_mut().filter(runs) {
             let Some(life) = &mut node.life else { continue };
             let source = |(id, region): &(u64, String)| Source {
                 id: *id,
@@ -426,6 +466,9 @@
         for node in self.nodes.values_mut() {
             let name = node.name.clone();
             let Some(life) = &mut node.life else { continue };
+            if self.frozen.contains(&name) {
+                continue;
+            }
             if !life.prompter.is_leader() {
                 life.wardrobe_since = None;
                 continue;
@@ -442,7 +485,9 @@
             if let Some(roll) = next_roll(&life.prompter, now, &others, LOSSES, patience) {
                 life.prompter.propose_roll(roll);
             }
-            if !life.prompter.holds_lease(now) || life.stage.config.is_none() {
+            // What is committed is applied before any duty looks at it.
+            let behind = life.stage.index < life.prompter.commit();
+            if behind || !life.prompter.holds_lease(now) || life.stage.config.is_none() {
                 continue;
             }
             if now >= life.next_poll {
@@ -549,15 +594,29 @@
         }
     }
 
+    /// Loses what is on its way between two nodes: their connections are reset.
+    pub fn reset(&mut self, a: &str, b: &str) {
+        let (x, y) = (
+            self.nodes.get(a).map_or(0, Node::id),
+            self.nodes.get(b).map_or(0, Node::id),
+        );
+        self.flights.retain(|(_, f)| match f {
+            Flight::Cue { from, to, .. } => !(from == a && *to == y || from == b && *to == x),
+            _ => true,
+        });
+    }
+
     /// What must hold at every moment.
-    pub fn check(&mut self) {
+    pub fn check(&mut self) -> Result<(), String> {
         let now = self.now;
         let leases = self
             .nodes
             .values()
             .filter(|n| n.life.as_ref().is_some_and(|l| l.prompter.holds_lease(now)))
             .count();
-        assert!(leases <= 1, "{leases} nodes hold the lease at {now}");
+        if leases > 1 {
+            return Err(format!("{leases} nodes hold the lease at {now}"));
+        }
         for node in self.nodes.values() {
             let Some(life) = &node.life else { continue };
             if life.prompter.is_leader() {
@@ -565,15 +624,14 @@
                     .leaders
                     .entry(life.prompter.term())
                     .or_insert(life.prompter.id());
-                assert_eq!(
-                    first,
-                    life.prompter.id(),
-                    "two leaders in term {} at {now}",
-                    life.prompter.term()
-                );
+                if first != life.prompter.id() {
+                    return Err(format!("two leaders in term {} at {now}", life.prompter.term()));
+                }
             }
             let applied = self.applied.entry((node.name.clone(), life.started)).or_default();
-            assert!(life.stage.index >= *applied, "{} went back at {now}", node.name);
+            if life.stage.index < *applied {
+                return Err(format!("{} went back at {now}", node.name));
+            }
             if life.stage.index > *applied {
                 *applied = life.stage.index;
                 let digest = understudy::digests(&life.stage).ranges;
@@ -581,11 +639,12 @@
                     .digests
                     .entry(life.stage.index)
                     .or_insert_with(|| digest.clone());
-                assert_eq!(
-                    *known, digest,
-                    "copies differ at index {} ({})",
-                    life.stage.index, node.name
-                );
+                if *known != digest {
+                    return Err(format!(
+                        "copies differ at index {} ({})",
+                        life.stage.index, node.name
+                    ));
+                }
             }
         }
         let mut held: Vec<(u32, u32, &str)> = Vec::new();
@@ -595,12 +654,14 @@
         held.sort_unstable();
         for pair in held.windows(2) {
             let clash = pair[0].1 >= pair[1].0 && pair[0].2 != pair[1].2;
-            assert!(
-                !clash,
-                "{} and {} hold the same keys at {now}",
-                pair[0].2, pair[1].2
-            );
+            if clash {
+                return Err(format!(
+                    "{} and {} hold the same keys at {now}",
+                    pair[0].2, pair[1].2
+                ));
+            }
         }
+        Ok(())
     }
 }
 
