Rehearsals log configurations as the program does, by what they change

Cause: a leader of the program now logs deltas; the fronts of the random worlds logged whole orders. Change: they go through Stage::for_log too.

--- a/crates/rehearsal/src/front.rs
+++ b/crates/rehearsal/src/front.rs
@@ -437,7 +437,7 @@
                 (ChangeKind::Evacuate(evacuation(zone, *begin)), None, tag)
             }
         };
-        let data = encode_order(kind, tag.clone());
+        let data = encode_order(node.stage.for_log(kind), tag.clone());
         let (index, term) = node.prompter.propose(data).ok_or(NOT_LEADER)?;
         self.under_way.push(Proposal {
             key,
