--- a/crates/rehearsal/src/run.rs
+++ b/crates/rehearsal/src/run.rs
@@ -351,6 +351,13 @@
         let now = self.world.now;
         let mut notes = Vec::new();
         for (name, node) in &self.world.nodes {
+            // A disk keeps what was written also while its node is down.
+            if let Some(disk) = &node.disk {
+                let index = disk.last_index();
+                if self.synced.insert(name.clone(), index) != Some(index) {
+                    notes.push((name.clone(), Saw::Synced { index }));
+                }
+            }
             let Some(life) = &node.life else { continue };
             let number = self.fronts.get(name).map_or(0, |f| f.life);
             let index = life.stage.index;
@@ -381,12 +388,6 @@
                     notes.push((name.clone(), Saw::Roll { voters }));
                 }
             }
-            if let Some(disk) = &node.disk {
-                let index = disk.last_index();
-                if self.synced.insert(name.clone(), index) != Some(index) {
-                    notes.push((name.clone(), Saw::Synced { index }));
-                }
-            }
         }
         for (name, worker) in &mut self.world.workers {
             for (from, to, fence, until) in std::mem::take(&mut worker.took) {
