--- a/review/stand-ins/src/cases/download.rs
+++ b/review/stand-ins/src/cases/download.rs
@@ -42,6 +42,8 @@
             service: "huvo11a".into(),
             address: fleet.net.worker(n),
             zone: Fleet::zone(STOPPED).0.into(),
+            draining: false,
+            started: None,
         };
         workers.push(Worker::start(record, entry, Work::Long { bytes: BYTES }, false)?);
     }
--- a/review/stand-ins/src/cases/evacuation.rs
+++ b/review/stand-ins/src/cases/evacuation.rs
@@ -31,6 +31,8 @@
             service: "huvo11a".into(),
             address: fleet.net.worker(n as u8),
             zone: zone.to_string(),
+            draining: false,
+            started: None,
         };
         workers.push(Worker::start(record, entry, Work::Brief { work_ms: 30 }, false)?);
     }
--- a/review/stand-ins/src/cases/leaving.rs
+++ b/review/stand-ins/src/cases/leaving.rs
@@ -59,6 +59,8 @@
             service: "huvo11a".into(),
             address: fleet.net.worker(n),
             zone: Fleet::zone(STOPPED).0.into(),
+            draining: false,
+            started: None,
         };
         let work = Work::ByPath {
             work_ms: 100,
--- a/review/stand-ins/src/cases/mod.rs
+++ b/review/stand-ins/src/cases/mod.rs
@@ -4,6 +4,7 @@
 mod evacuation;
 mod leaving;
 mod owner;
+mod pages;
 
 use crate::{Setting, Verdict};
 
@@ -13,6 +14,7 @@
         "evacuation" => evacuation::run(setting),
         "leaving" => leaving::run(setting),
         "owner" => owner::run(setting),
+        "pages" => pages::run(setting),
         _ => Err(format!("there is no case {name}")),
     }
 }
--- a/review/stand-ins/src/cases/owner.rs
+++ b/review/stand-ins/src/cases/owner.rs
@@ -31,6 +31,8 @@
                 service: service.into(),
                 address: fleet.net.worker((2 * n + k) as u8),
                 zone: zone.to_string(),
+                draining: false,
+                started: None,
             };
             workers.push(Worker::start(
                 record,
@@ -103,7 +105,7 @@
 }
 
 /// Every pair of workers that held the same keys for too long: the worst one of each pair.
-fn breaches(workers: &[Arc<Worker>]) -> Vec<String> {
+pub fn breaches(workers: &[Arc<Worker>]) -> Vec<String> {
     let holds: Vec<(&str, Vec<Hold>, Vec<Run>)> = workers
         .iter()
         .map(|w| {
--- a/review/stand-ins/src/platform.rs
+++ b/review/stand-ins/src/platform.rs
@@ -3,6 +3,7 @@
 use crate::http::{answer, Reader};
 use std::io::Write as _;
 use std::net::{SocketAddrV4, TcpListener};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -16,10 +17,16 @@
     pub service: String,
     pub address: SocketAddrV4,
     pub zone: String,
+    /// `State`: `draining`, else `ready`.
+    pub draining: bool,
+    /// When it started, if that was during traffic: it is cold at first.
+    pub started: Option<Instant>,
 }
 
 #[derive(Clone, Default)]
 pub struct Platform {
+    /// How long a call to it takes, ms.
+    delay_ms: Arc<AtomicU64>,
     /// The list, each with the moment from which it stands so.
     lists: Arc<Mutex<Vec<(Instant, Vec<Entry>)>>>,
 }
@@ -35,6 +42,8 @@
                 std::thread::spawn(move || {
                     let mut reader = Reader::new(&stream);
                     while let Ok(Some(request)) = reader.message() {
+                        let delay_ms = platform.delay_ms.load(Ordering::Relaxed);
+                        std::thread::sleep(Duration::from_millis(delay_ms));
                         let page = platform.page(request.path());
                         let bytes = answer("200 OK", "Content-Type: application/json\r\n", page.as_bytes());
                         if (&stream).write_all(&bytes).is_err() {
@@ -52,6 +61,11 @@
         self.lists.lock().unwrap().push((Instant::now(), entries));
     }
 
+    /// How far away it is: each call takes so long, there and back.
+    pub fn set_distance(&self, delay_ms: u64) {
+        self.delay_ms.store(delay_ms, Ordering::Relaxed);
+    }
+
     fn page(&self, path: &str) -> String {
         let lists = self.lists.lock().unwrap();
         // What was there before the case began has long been listed.
@@ -86,9 +100,20 @@
     }
 }
 
+/// `ColdPeriod` of the configurations.
+const COLD: Duration = Duration::from_secs(3);
+
 fn row(entry: &Entry) -> String {
+    let cold_left = entry
+        .started
+        .map_or(Duration::ZERO, |at| COLD.saturating_sub(at.elapsed()));
     format!(
-        r#""{}":{{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","CapacitySlots":6,"State":"ready","ColdLeft":"0ms"}}"#,
-        entry.id, entry.service, entry.address, entry.zone
+        r#""{}":{{"Service":"{}","Address":"{}","Zone":"{}","Version":"v1","CapacitySlots":6,"State":"{}","ColdLeft":"{}ms"}}"#,
+        entry.id,
+        entry.service,
+        entry.address,
+        entry.zone,
+        if entry.draining { "draining" } else { "ready" },
+        cold_left.as_millis()
     )
 }
--- a/review/stand-ins/src/worker.rs
+++ b/review/stand-ins/src/worker.rs
@@ -5,6 +5,7 @@
 use crate::record::Record;
 use std::io::Write as _;
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -43,6 +44,7 @@
     record: Record,
     work: Work,
     partitioned: bool,
+    ended: AtomicBool,
     pub holds: Mutex<Vec<Hold>>,
     pub runs: Mutex<Vec<Run>>,
     /// When the whole answer to a request was handed to the connection, by its id.
@@ -66,6 +68,7 @@
             record: record.clone(),
             work,
             partitioned,
+            ended: AtomicBool::new(false),
             holds: Mutex::default(),
             runs: Mutex::default(),
             answered: Mutex::default(),
@@ -80,10 +83,22 @@
         Ok(worker)
     }
 
+    /// Ends in order: it holds nothing any more and answers nobody.
+    pub fn end(&self) {
+        self.ended.store(true, Ordering::Relaxed);
+        let now = self.record.now_ms();
+        self.record.note(format!("worker {} ends", self.entry.id));
+        let mut holds = self.holds.lock().unwrap();
+        holds.iter_mut().for_each(|h| h.until_ms = h.until_ms.min(now));
+    }
+
     fn serve(&self, stream: &TcpStream) {
         let _ = stream.set_nodelay(true);
         let mut reader = Reader::new(stream);
         while let Ok(Some(request)) = reader.message() {
+            if self.ended.load(Ordering::Relaxed) {
+                return;
+            }
             let bytes = self.answer(&request);
             if { stream }.write_all(&bytes).is_err() {
                 return;
