Keys: leases of a dropped service stay until they have ended; tokens never fall

Cause: applying a configuration dropped the leases of services that it does not divide. Their ends (kept by token) and the highest token (looked up among the leases) went with them.

Change: such leases stay, are not renewed, and lose their holder by its word or once they have certainly ended; when nobody holds a key of the service, its rows go. Keys are given only to workers of divided services.

Why it works: whoever leads finds the lease in the state, with the token whose end it knows or, as a new leader, waits for; nothing but that end or the holder's word frees the range.

--- a/crates/anti-entropy/src/lib.rs
+++ b/crates/anti-entropy/src/lib.rs
@@ -66,6 +66,7 @@
         to.warmup_groups = from.warmup_groups.clone();
         to.rollouts = from.rollouts.clone();
         to.kill_switch = from.kill_switch.clone();
+        to.highest_fencing_token = from.highest_fencing_token;
     }
 }
 
@@ -137,6 +138,8 @@
     let mut image = select_ranges(&state.image(), |range| !is_repaired(range));
     image.index = repair.index;
     copy_tables(newer, &mut image, &is_repaired);
+    // A peer of an earlier version does not tell it.
+    image.highest_fencing_token = image.highest_fencing_token.max(state.highest_fencing_token());
     image.workers.extend(newer.workers.iter().cloned());
     image.key_leases.extend(newer.key_leases.iter().cloned());
     ControlState::from_image(image).ok()
--- a/crates/control-state/src/apply.rs
+++ b/crates/control-state/src/apply.rs
@@ -4,9 +4,7 @@
 use crate::error::InvalidChange;
 use crate::state::ControlState;
 use prost::Message as _;
-use protocol::{
-    Change, ChangeKind, EvacuationChange, KeyLease, RetryAllowanceChange, WarmupGroup, WorkersChange,
-};
+use protocol::{Change, ChangeKind, EvacuationChange, RetryAllowanceChange, WarmupGroup, WorkersChange};
 use rollout::Refusal;
 use std::collections::BTreeSet;
 use std::sync::Arc;
@@ -82,11 +80,7 @@
                 }
             }
             ChangeKind::Workers(change) => self.update_workers(index, change),
-            ChangeKind::KeyLeases(change) => {
-                for lease in change.put {
-                    self.put_key_lease(lease);
-                }
-            }
+            ChangeKind::KeyLeases(change) => self.update_key_leases(change.put),
             ChangeKind::Placement(change) => self.fractions = Arc::new(change.fractions),
             ChangeKind::RetryAllowance(change) => self.update_retry_allowances(change),
             ChangeKind::Ejections(change) => self.ejected = Arc::new(change.workers.into_iter().collect()),
@@ -153,30 +147,4 @@
         nodes.extend(change.granted);
         self.retry_slack = change.slack;
     }
-
-    /// Puts a range, cutting away what it covers of older ranges.
-    fn put_key_lease(&mut self, new: KeyLease) {
-        let table = Arc::make_mut(self.key_leases.entry(new.service.clone()).or_default());
-        let before = table.range(..=new.from).next_back();
-        let first = before.map_or(new.from, |(from, _)| *from);
-        let overlapping: Vec<Arc<KeyLease>> = table
-            .range(first..=new.to)
-            .map(|(_, lease)| lease.clone())
-            .filter(|lease| lease.to >= new.from)
-            .collect();
-        for old in overlapping {
-            table.remove(&old.from);
-            let rest = |from, to| {
-                let lease = KeyLease {
-                    from,
-                    to,
-                    ..(*old).clone()
-                };
-                (from, Arc::new(lease))
-            };
-            table.extend((old.from < new.from).then(|| rest(old.from, new.from - 1)));
-            table.extend((old.to > new.to).then(|| rest(new.to + 1, old.to)));
-        }
-        table.insert(new.from, Arc::new(new));
-    }
 }
--- a/crates/control-state/src/configuration_commands.rs
+++ b/crates/control-state/src/configuration_commands.rs
@@ -168,13 +168,4 @@
             CommandStatus::Forgotten => Err(Outcome::Undecidable),
         }
     }
-
-    /// Services that a new configuration no longer partitions hold no keys.
-    fn drop_obsolete_key_leases(&mut self) {
-        if let Some(configuration) = &self.configuration {
-            let services = &configuration.services;
-            let is_partitioned = |name: &str| services.get(name).is_some_and(|s| s.partitioned);
-            self.key_leases.retain(|service, _| is_partitioned(service));
-        }
-    }
 }
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -10,6 +10,7 @@
 mod configuration_commands;
 mod delta;
 mod error;
+mod key_leases;
 mod recent_commands;
 mod snapshot;
 mod state;
--- a/crates/control-state/src/snapshot.rs
+++ b/crates/control-state/src/snapshot.rs
@@ -49,6 +49,7 @@
                 })
                 .collect(),
             key_leases: leases.map(|l| (**l).clone()).collect(),
+            highest_fencing_token: self.highest_fencing_token,
             fractions: self.fractions.to_vec(),
             retry_allowances: self.retry_allowances.iter().copied().collect(),
             retry_slack: self.retry_slack,
@@ -78,6 +79,8 @@
                 image.version,
             ),
         };
+        let tokens = image.key_leases.iter().map(|lease| lease.fencing_token);
+        let highest_fencing_token = tokens.fold(image.highest_fencing_token, u64::max);
         let mut evacuated = BTreeMap::new();
         for zone in image.evacuated {
             *evacuated.entry(zone).or_default() += 1;
@@ -100,6 +103,7 @@
                     .collect(),
             ),
             key_leases: lease_tables(image.key_leases),
+            highest_fencing_token,
             ejected: Arc::new(image.ejected.into_iter().collect()),
             fractions: Arc::new(image.fractions),
             rollouts: Arc::new(rollouts.map(|r| (r.service.clone(), Arc::new(r))).collect()),
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -30,8 +30,11 @@
     pub workers: Arc<BTreeMap<String, Arc<Worker>>>,
     /// Nodes that may call warming workers, by the number that the workers name.
     pub warmup_groups: Arc<BTreeMap<u32, Arc<BTreeSet<u64>>>>,
-    /// Key leases by service and first key.
+    /// Key leases by service and first key. A service that is no longer partitioned keeps its
+    /// leases until nobody holds them: its workers know nothing of configurations.
     pub key_leases: BTreeMap<String, Arc<BTreeMap<u32, Arc<KeyLease>>>>,
+    /// The highest fencing token ever given, of leases that are gone as well.
+    pub(crate) highest_fencing_token: u64,
     /// Workers that get no requests because they fail or lag behind the others.
     pub ejected: Arc<BTreeSet<String>>,
     /// The placement.
@@ -86,10 +89,14 @@
         (lease.to >= key).then_some(&**lease)
     }
 
-    /// The highest fencing token ever given.
+    /// The highest fencing token ever given: workers remember tokens longer than leases last.
     pub fn highest_fencing_token(&self) -> u64 {
-        let leases = self.key_leases.values().flat_map(|t| t.values());
-        leases.map(|l| l.fencing_token).max().unwrap_or(0)
+        self.highest_fencing_token
+    }
+
+    /// Whether the configuration in force divides a service by key.
+    pub fn is_partitioned(&self, service: &str) -> bool {
+        self.service(service).is_some_and(|s| s.partitioned)
     }
 
     /// Which part of the split of its service a worker belongs to.
--- a/crates/control-state/tests/state.rs
+++ b/crates/control-state/tests/state.rs
@@ -130,3 +130,59 @@
     }
     assert!(ControlState::from_snapshot(9, &[0, 77]).is_err(), "unreadable");
 }
+
+/// Guards against fencing tokens that fall, and leases that are forgotten while they run, when a
+/// configuration drops their service (OWNER; review case 1).
+#[test]
+fn leases_of_a_dropped_service_stay_while_they_are_held_and_their_tokens_for_good() {
+    let mut state = ControlState::default();
+    let configure = |state: &mut ControlState, groups: &str| {
+        let version = state.version();
+        let body = format!(
+            r#"{{"Version":{},"Limits":{{"HeaderMaxBytes":1,"BodyMaxBytes":1,"HeaderTimeout":"1s","IdleTimeout":"1s"}},"AccessPoints":[],"Groups":[{groups}]}}"#,
+            version + 1
+        );
+        let command = ConfigurationCommand {
+            base: version,
+            body: body.into(),
+            ..Default::default()
+        };
+        let index = state.index + 1;
+        assert_eq!(
+            state.apply(index, &Change::encode(ChangeKind::Replace(command))),
+            Outcome::Applied
+        );
+    };
+    let put = |state: &mut ControlState, worker: &str, fencing_token| {
+        let lease = KeyLease {
+            service: "s".into(),
+            to: KEY_SPACE - 1,
+            worker: worker.into(),
+            fencing_token,
+            ..Default::default()
+        };
+        let index = state.index + 1;
+        let change = ChangeKind::KeyLeases(KeyLeaseChange { put: vec![lease] });
+        state.apply(index, &Change::encode(change));
+    };
+    configure(&mut state, r#"{"Name":"s","Partitioned":true}"#);
+    put(&mut state, "a", 7);
+    configure(&mut state, r#"{"Name":"s"}"#);
+    assert!(state.key_lease("s", 0).is_some_and(|l| l.worker == "a"), "held");
+    put(&mut state, "", 7);
+    assert!(state.key_leases.is_empty(), "nobody holds them any more");
+    let image = state.image();
+    let read = ControlState::from_image(image.clone()).expect("readable");
+    assert_eq!(
+        (state.highest_fencing_token(), read.highest_fencing_token()),
+        (7, 7)
+    );
+    // An image of an earlier version names no token but those of its leases.
+    put(&mut state, "b", 8);
+    let older = protocol::ControlStateImage {
+        highest_fencing_token: 0,
+        ..state.image()
+    };
+    let read = ControlState::from_image(older).expect("readable");
+    assert_eq!(read.highest_fencing_token(), 8);
+}
--- a/crates/key-ownership/src/assignment.rs
+++ b/crates/key-ownership/src/assignment.rs
@@ -63,6 +63,9 @@
     /// The workers of a service that may be given keys: warm ones, or cold
     /// ones if there are no others.
     fn usable(&self, service: &str) -> Vec<&Worker> {
+        if !self.state.is_partitioned(service) {
+            return Vec::new();
+        }
         let able: Vec<&Worker> = self
             .workers_of(service)
             .iter()
--- a/crates/key-ownership/src/manager/round.rs
+++ b/crates/key-ownership/src/manager/round.rs
@@ -129,6 +129,10 @@
         round: &mut Round,
     ) {
         let range = self.ranges.entry(RangeKey::of(lease)).or_default();
+        if !lease.worker.is_empty() && !state.is_partitioned(&lease.service) {
+            round.changes.extend(self.freed(now, lease, pending));
+            return;
+        }
         let Some(worker) = state.workers.get(&lease.worker) else {
             // Nobody holds it, or the process that held it has ended.
             if range.call.is_none() {
@@ -186,23 +190,29 @@
             });
             return;
         }
-        let expiry = self.range_expiry(lease).max(pending.expiry(lease.fencing_token));
-        let is_settled = self.expiry(lease.fencing_token).settled <= now;
-        let Some(range) = self.ranges.get(&RangeKey::of(lease)) else {
+        if let Some(freed) = self.freed(now, lease, pending) {
+            round.changes.push(freed);
             return;
-        };
-        if range.released.is_some() || expiry.max(range.final_expiry) <= now {
-            round.changes.push(KeyLease {
-                handover: range.released.clone().unwrap_or_default(),
-                ..without_holder(lease)
-            });
-        } else if is_settled && !pending.overlaps(lease) {
+        }
+        let is_settled = self.expiry(lease.fencing_token).settled <= now;
+        if is_settled && !pending.overlaps(lease) {
             let is_ejected = state.ejected.contains(&worker.id);
             let action = self.take_back(now, lease, worker, is_ejected);
             round.actions.extend(action);
         }
     }
 
+    /// The lease without its holder, once that has let go or its lease has certainly ended.
+    fn freed(&self, now: u64, lease: &KeyLease, pending: &PendingCalls) -> Option<KeyLease> {
+        let range = self.ranges.get(&RangeKey::of(lease))?;
+        let expiry = self.range_expiry(lease).max(pending.expiry(lease.fencing_token));
+        let has_expired = expiry.max(range.final_expiry) <= now;
+        (range.released.is_some() || has_expired).then(|| KeyLease {
+            handover: range.released.clone().unwrap_or_default(),
+            ..without_holder(lease)
+        })
+    }
+
     /// The call that takes a range back: first a last, longer grant, so that what runs may go
     /// on until its end; then the release.
     fn take_back(&mut self, now: u64, lease: &KeyLease, worker: &Worker, is_ejected: bool) -> Option<Action> {
--- a/crates/key-ownership/tests/ownership.rs
+++ b/crates/key-ownership/tests/ownership.rs
@@ -2,18 +2,48 @@
 
 use config::constants as c;
 use control_state::{ControlState, KEY_SPACE};
-use key_ownership::{Action, GrantResult, OwnershipManager, ReleaseResult};
+use key_ownership::{Action, GrantCall, GrantResult, OwnershipManager, ReleaseCall, ReleaseResult};
 use protocol::*;
 
 const CONFIG: &str = r#"{"Version":1,"Limits":{"HeaderMaxBytes":1,"BodyMaxBytes":1,"HeaderTimeout":"1s","IdleTimeout":"1s"},
     "AccessPoints":[],"Groups":[{"Name":"s","Partitioned":true}]}"#;
 
+/// The configuration without the service.
+const CONFIG_WITHOUT_SERVICE: &str = r#"{"Version":2,"Limits":{"HeaderMaxBytes":1,"BodyMaxBytes":1,"HeaderTimeout":"1s","IdleTimeout":"1s"},
+    "AccessPoints":[],"Groups":[{"Name":"other"}]}"#;
+
+/// Keys that a worker holds, as the worker sees it.
+#[derive(Debug)]
+struct Hold {
+    worker: String,
+    from: u32,
+    to: u32,
+    token: u64,
+    since: u64,
+    until: u64,
+}
+
+impl Hold {
+    fn shares_keys(&self, other: &Hold) -> bool {
+        self.from <= other.to && other.from <= self.to
+    }
+
+    fn overlaps(&self, other: &Hold) -> bool {
+        self.worker != other.worker
+            && self.shares_keys(other)
+            && self.since < other.until
+            && other.since < self.until
+    }
+}
+
 struct Scenario {
     state: ControlState,
     ownership: OwnershipManager,
     now: u64,
     /// Calls made since the last look.
     calls: Vec<Action>,
+    /// All that workers held, by the order of the grants.
+    holds: Vec<Hold>,
 }
 
 impl Scenario {
@@ -23,12 +53,9 @@
             ownership: OwnershipManager::new(10_000, 300),
             now: 0,
             calls: vec![],
+            holds: vec![],
         };
-        scenario.change(ChangeKind::Replace(ConfigurationCommand {
-            base: 0,
-            body: CONFIG.into(),
-            ..Default::default()
-        }));
+        scenario.configure(CONFIG);
         let put = (0..workers).map(|i| worker(&format!("w{i}"))).collect();
         scenario.change(ChangeKind::Workers(WorkersChange {
             put,
@@ -41,6 +68,67 @@
         self.state.apply(self.state.index + 1, &Change::encode(kind));
     }
 
+    /// Puts a configuration in force, whatever its version says.
+    fn configure(&mut self, text: &str) {
+        let version = self.state.version();
+        let body = text.replacen(['1', '2'], &(version + 1).to_string(), 1);
+        self.change(ChangeKind::Replace(ConfigurationCommand {
+            base: version,
+            body: body.into(),
+            ..Default::default()
+        }));
+        assert_eq!(self.state.version(), version + 1);
+    }
+
+    /// A worker takes a grant; it may as well if the answer is lost.
+    fn note_grant(&mut self, call: &GrantCall) {
+        self.holds.push(Hold {
+            worker: call.lease.worker.clone(),
+            from: call.lease.from,
+            to: call.lease.to,
+            token: call.lease.fencing_token,
+            since: self.now,
+            until: self.now + call.lease_ms,
+        });
+    }
+
+    /// A worker lets go. What it keeps of a range is a hold of its own.
+    fn note_release(&mut self, call: &ReleaseCall) {
+        let (now, lease) = (self.now, &call.lease);
+        let mut kept = Vec::new();
+        let holds = self
+            .holds
+            .iter_mut()
+            .filter(|h| h.worker == lease.worker && h.until > now);
+        for hold in holds.filter(|h| h.from <= lease.to && h.to >= lease.from) {
+            let rest = [(hold.from, lease.from.wrapping_sub(1)), (lease.to + 1, hold.to)];
+            let rest = rest.into_iter().filter(|(from, to)| from <= to && *to <= hold.to);
+            kept.extend(rest.map(|(from, to)| Hold {
+                worker: hold.worker.clone(),
+                from,
+                to,
+                token: hold.token,
+                since: now,
+                until: hold.until,
+            }));
+            hold.until = now;
+        }
+        self.holds.extend(kept);
+    }
+
+    /// No key had two holders at the same time, and none was granted under a lower token.
+    fn check_holds(&self) {
+        for (i, later) in self.holds.iter().enumerate() {
+            for earlier in &self.holds[..i] {
+                assert!(!later.overlaps(earlier), "{later:?} beside {earlier:?}");
+                assert!(
+                    !later.shares_keys(earlier) || later.token >= earlier.token,
+                    "{later:?} after {earlier:?}"
+                );
+            }
+        }
+    }
+
     fn log(&mut self, put: Vec<KeyLease>) {
         self.change(ChangeKind::KeyLeases(KeyLeaseChange { put }));
         self.ownership.on_logged();
@@ -55,6 +143,7 @@
                 match act {
                     Action::Log(put) => self.log(put),
                     Action::Grant(g) => {
+                        self.note_grant(&g);
                         let end = if g.lease.worker == dead {
                             GrantResult::Unknown
                         } else {
@@ -66,6 +155,7 @@
                         let end = if r.lease.worker == dead {
                             ReleaseResult::Failed
                         } else {
+                            self.note_release(&r);
                             ReleaseResult::Released("token".into())
                         };
                         self.ownership.on_release_result(self.now, &r, end);
@@ -207,6 +297,65 @@
     p.check_cover();
 }
 
+/// Guards against keys with two holders, and against fencing tokens that fall, after a
+/// configuration without the service (OWNER; review case 1).
+#[test]
+fn a_service_that_is_dropped_and_comes_back_gives_no_key_a_second_holder() {
+    for gap_ms in [100, 400, 1000, 3000, 4000, 6000, 12_000] {
+        let mut p = Scenario::new(4);
+        p.run(2000, "");
+        let top = p.state.highest_fencing_token();
+        p.configure(CONFIG_WITHOUT_SERVICE);
+        // Other workers than before: all ranges would be divided anew.
+        let put = vec![worker("a"), worker("b")];
+        p.change(ChangeKind::Workers(WorkersChange {
+            put,
+            ..Default::default()
+        }));
+        p.calls.clear();
+        p.run(gap_ms, "");
+        assert!(!p.calls.iter().any(|a| matches!(a, Action::Grant(_))), "{gap_ms}");
+        assert!(p.state.highest_fencing_token() >= top, "{gap_ms}: a token fell");
+        p.configure(CONFIG);
+        p.run(8000, "");
+        p.check_holds();
+        p.check_cover();
+        for lease in p.state.key_leases["s"].values() {
+            assert!(!lease.worker.is_empty(), "{gap_ms}: {lease:?}");
+        }
+    }
+}
+
+/// The same, with a new leader that knows of the leases from a snapshot only.
+#[test]
+fn a_new_leader_from_a_snapshot_waits_for_the_leases_of_a_dropped_service() {
+    for gap_ms in [100, 2000, 6000] {
+        let mut p = Scenario::new(4);
+        p.run(2000, "");
+        let top = p.state.highest_fencing_token();
+        p.configure(CONFIG_WITHOUT_SERVICE);
+        p.run(gap_ms, "");
+        let snapshot = p.state.to_snapshot();
+        p.state = ControlState::from_snapshot(p.state.index, &snapshot).expect("readable");
+        p.ownership = OwnershipManager::new(10_000, 300);
+        p.ownership.begin(p.now, &p.state);
+        p.configure(CONFIG);
+        p.change(ChangeKind::Workers(WorkersChange {
+            put: vec![worker("a")],
+            removed: vec!["w0".into()],
+            ..Default::default()
+        }));
+        p.run(12_000, "");
+        p.check_cover();
+        let tokens = p.state.key_leases["s"].values().map(|l| l.fencing_token);
+        let lowest = tokens.min().expect("leases");
+        assert!(
+            gap_ms < 6000 || lowest > top,
+            "{gap_ms}: tokens begin anew at {lowest}"
+        );
+    }
+}
+
 #[test]
 fn newcomer_gets_a_fair_share_once_it_is_warm() {
     let mut p = Scenario::new(4);
--- a/crates/protocol/src/image.rs
+++ b/crates/protocol/src/image.rs
@@ -60,6 +60,9 @@
     /// The commands that were judged.
     #[prost(message, optional, tag = "17")]
     pub command_history: Option<CommandHistoryImage>,
+    /// The highest fencing token ever given; 0 in images that are older than it.
+    #[prost(uint64, tag = "18")]
+    pub highest_fencing_token: u64,
 }
 
 /// A zone whose evacuation has ended.
