Shutdown: from the decision to end on, no request is taken

Cause: between the last look at what runs and the end of the process its listener and connections went on taking requests, which were cut off although a worker may have run them.

Change: the decision and the refusal of all that still comes are one step.

Why it works: requests are served on the thread that decides; after the last look none can begin.

--- a/crates/pebblepond/src/forwarding_tests.rs
+++ b/crates/pebblepond/src/forwarding_tests.rs
@@ -384,8 +384,9 @@
     assert_eq!(script.received.borrow().len(), 1);
 }
 
-/// Once shutdown is over the process ends at once: what it takes then is cut off, although a
-/// worker may have run it.
+/// Guards against requests that are taken between the last look at what runs and the end of the
+/// process (LOST): it ends at once, and what it takes then is cut off, although a worker may have
+/// run it.
 #[actix_rt::test]
 async fn a_node_that_has_decided_to_end_takes_no_request() {
     let (script, address) = worker(vec![ok("fine")]).await;
@@ -394,9 +395,11 @@
     settings.terms.bounds.grace_period.ms = 1000;
     node.settings.set(settings);
     crate::shutdown::shut_down(&node).await;
-    let answer = raw(front_address, &post("/once/a", "x")).await;
-    assert_eq!(script.received.borrow().len(), 0, "a worker ran it: {answer}");
-    assert_eq!(status(&answer), "503");
+    for request in [post("/once/a", "x"), get("/short/a")] {
+        let answer = raw(front_address, &request).await;
+        assert_eq!(script.received.borrow().len(), 0, "a worker ran it: {answer}");
+        assert_eq!(status(&answer), "503");
+    }
 }
 
 #[actix_rt::test]
--- a/crates/pebblepond/src/shutdown.rs
+++ b/crates/pebblepond/src/shutdown.rs
@@ -114,6 +114,8 @@
                     "event=shutdown_without_majority what=\"the other voters in contact are no majority that holds all that is committed: keep this disk, or bring this process back\""
                 );
             }
+            // Nothing runs between here and the end of the process, and nothing may begin to.
+            context.refusing_requests.set(true);
             log::info!("event=shutdown_complete after_ms={elapsed}");
             return;
         }
