Shutdown: a request is taken only if what it may last ends before the process

Cause: requests were taken until 0.7 of the grace period whatever they may last, and the process ended at 0.9 of it whatever ran.

`shut_down` is divided; its log line names what still runs.

Why it works: nothing that is taken after the signal can outlast the process.

--- a/crates/pebblepond/src/forwarding_tests.rs
+++ b/crates/pebblepond/src/forwarding_tests.rs
@@ -384,6 +384,35 @@
     assert_eq!(script.received.borrow().len(), 1);
 }
 
+/// Guards against requests that run and are cut off by the end of the process (LOST; review
+/// case 3): one is taken only if what it may last fits into what is left.
+#[actix_rt::test]
+async fn a_node_that_shuts_down_takes_only_what_can_end_in_time() {
+    let (script, address) = worker(vec![ok("fine")]).await;
+    let (node, front_address) = node(&[address]).await;
+    let mut settings = (*node.settings.get()).clone();
+    settings.terms.bounds.grace_period.ms = 6000;
+    node.settings.set(settings);
+    let leaving = node.clone();
+    actix_rt::spawn(async move { crate::shutdown::shut_down(&leaving).await });
+    while !node.shutting_down.get() {
+        actix_rt::task::yield_now().await;
+    }
+    // By the route it may last 20 s.
+    let answer = raw(front_address, &post("/once/a", "x")).await;
+    assert!(
+        status(&answer) == "503" && answer.contains("etry-after"),
+        "{answer}"
+    );
+    let within =
+        |ms: u64| post("/once/a", "x").replace("Attempt-Id", &format!("Deadline-Ms: {ms}\r\nAttempt-Id"));
+    let answer = raw(front_address, &within(5_900)).await;
+    assert_eq!(status(&answer), "503", "{answer}");
+    assert_eq!(script.received.borrow().len(), 0);
+    let answer = raw(front_address, &within(500)).await;
+    assert_eq!(status(&answer), "200", "{answer}");
+}
+
 /// Guards against requests that are taken between the last look at what runs and the end of the
 /// process (LOST): it ends at once, and what it takes then is cut off, although a worker may have
 /// run it.
--- a/crates/pebblepond/src/kernel.rs
+++ b/crates/pebblepond/src/kernel.rs
@@ -72,6 +72,8 @@
     pub last_contact: Cell<u64>,
     /// Set once the process has been told to end.
     pub shutting_down: Cell<bool>,
+    /// By when a request must have ended to be taken; set once the process has been told to end.
+    pub latest_deadline: Cell<Option<Instant>>,
     /// Set once a process that shuts down can take no more requests.
     pub refusing_requests: Cell<bool>,
     /// Counts of what happened.
@@ -98,6 +100,7 @@
             upstream: Published::new(None),
             last_contact: Cell::new(1),
             shutting_down: Cell::new(false),
+            latest_deadline: Cell::new(None),
             refusing_requests: Cell::new(false),
             counters: Counters::default(),
             payload_handlers: PayloadHandlers::default(),
--- a/crates/pebblepond/src/proxy/request.rs
+++ b/crates/pebblepond/src/proxy/request.rs
@@ -60,6 +60,11 @@
         let route = self.route(request, &config)?;
         let timeout_ms = number(request.headers(), "Deadline-Ms").unwrap_or(route.timeout_ms);
         let deadline = arrived + Duration::from_millis(timeout_ms.min(route.timeout_ms));
+        let latest_deadline = self.context.latest_deadline.get();
+        if latest_deadline.is_some_and(|latest| deadline > latest) {
+            // It may outlast the process, and would be cut off.
+            return Err(closing(self.refuse("refused_leaving", c::RETRY_AFTER_MS)));
+        }
         let service = self.service(&route).await;
         let key = key(request, &config, &service)?;
         let body = read_body(request, config.limits).await?;
--- a/crates/pebblepond/src/shutdown.rs
+++ b/crates/pebblepond/src/shutdown.rs
@@ -7,7 +7,7 @@
 use actix::prelude::*;
 use config::{constants as c, Settings};
 use std::rc::Rc;
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, Instant, SystemTime};
 use tokio::signal::unix::{signal, SignalKind};
 
 inventory::submit! { Component { name: "shutdown", order: 100, start } }
@@ -75,16 +75,46 @@
     log::info!("event=settings_read");
 }
 
-/// Not ready, out of the directory, leadership passed on, and then whatever
-/// runs may end within the grace period. A voter stays, as long as there is time,
-/// until the others go on with all that it holds.
+/// The end of a process: a deadline that nothing outlasts.
+struct GracePeriod {
+    begun: u64,
+    length_ms: u64,
+}
+
+impl GracePeriod {
+    /// When the process ends at the latest, ms.
+    fn ends_at(&self) -> u64 {
+        self.begun + self.length_ms.saturating_sub(c::SHUTDOWN_END_MARGIN_MS)
+    }
+
+    /// Whether clients have had time to hear that this node is leaving. They leave within the
+    /// life of an answer of the directory; who still comes after that is served as long as
+    /// there is time.
+    fn is_half_over(&self, now: u64) -> bool {
+        now - self.begun > self.length_ms / 2
+    }
+
+    /// How long a request that comes now may last, ms.
+    fn request_limit(&self) -> Duration {
+        Duration::from_millis(self.length_ms.saturating_sub(c::SHUTDOWN_REQUEST_MARGIN_MS))
+    }
+}
+
+/// Not ready, out of the directory, leadership passed on, and then whatever runs may end within
+/// the grace period; what may last longer is not taken. A voter stays, as long as there is
+/// time, until the others go on with all that it holds.
 pub(crate) async fn shut_down(context: &Rc<NodeContext>) {
     log::info!("event=shutdown_begun");
+    let grace_period = GracePeriod {
+        begun: context.now(),
+        length_ms: context.settings.get().terms.bounds.grace_period.ms,
+    };
     context.shutting_down.set(true);
+    context
+        .latest_deadline
+        .set(Some(Instant::now() + grace_period.request_limit()));
     let driver = context.get::<Addr<RaftDriver>>();
-    let grace = context.settings.get().terms.bounds.grace_period.ms;
-    let begun = context.now();
-    let mut quiet_since = begun;
+    let mut quiet_since = grace_period.begun;
     let mut can_end = driver.is_none();
     let mut announced_at = None;
     loop {
@@ -95,30 +125,30 @@
                 can_end = driver.send(AnnounceShutdown).await.unwrap_or(true);
             }
         }
-        if context
-            .get::<Rc<Proxy>>()
-            .is_some_and(|proxy| proxy.running() > 0)
-        {
+        if running(context) > 0 {
             quiet_since = now;
         }
-        let elapsed = now - begun;
-        // What still comes would be cut off: it is refused while there is time
-        // to say so, and what runs may end.
-        context.refusing_requests.set(elapsed > grace * 7 / 10);
-        // Clients leave within the life of an answer; who still comes after
-        // that is served as long as there is time.
-        let settled = elapsed > grace / 2 && now - quiet_since > c::SHUTDOWN_QUIET_MS && can_end;
-        if settled || elapsed > grace * 9 / 10 {
-            if !can_end {
-                log::warn!(
-                    "event=shutdown_without_majority what=\"the other voters in contact are no majority that holds all that is committed: keep this disk, or bring this process back\""
-                );
-            }
-            // Nothing runs between here and the end of the process, and nothing may begin to.
-            context.refusing_requests.set(true);
-            log::info!("event=shutdown_complete after_ms={elapsed}");
-            return;
+        let is_quiet = now - quiet_since > c::SHUTDOWN_QUIET_MS;
+        if grace_period.is_half_over(now) && is_quiet && can_end || now >= grace_period.ends_at() {
+            break;
         }
-        actix_rt::time::sleep(Duration::from_millis(50)).await;
+        actix_rt::time::sleep(Duration::from_millis(c::SHUTDOWN_CHECK_INTERVAL_MS)).await;
     }
+    if !can_end {
+        log::warn!(
+            "event=shutdown_without_majority what=\"the other voters in contact are no majority that holds all that is committed: keep this disk, or bring this process back\""
+        );
+    }
+    // Nothing runs between here and the end of the process, and nothing may begin to.
+    context.refusing_requests.set(true);
+    let after_ms = context.now() - grace_period.begun;
+    log::info!(
+        "event=shutdown_complete after_ms={after_ms} running={}",
+        running(context)
+    );
+}
+
+/// Requests that are being served.
+fn running(context: &NodeContext) -> u64 {
+    context.get::<Rc<Proxy>>().map_or(0, |proxy| proxy.running())
 }
