Shutdown: an answer that is still being sent is a running request

Cause: a request counted as running until the head of its answer was there; answers over 64 KiB are passed on as they come.

Change: the guard that counts a request goes with the body of its answer, and then to its connection until the buffer has been written. `proxy/running.rs` and `proxy/connection.rs` are new; the connection's state has moved there from the listener.

--- a/crates/pebblepond/src/forwarding_tests.rs
+++ b/crates/pebblepond/src/forwarding_tests.rs
@@ -2,6 +2,7 @@
 //! do what a test tells them. Nothing here depends on how long things take.
 
 use crate::kernel::{start_all_but, NodeContext, NodeStatus};
+use crate::proxy::Proxy;
 use config::Settings;
 use control_state::ControlState;
 use protocol::*;
@@ -413,6 +414,49 @@
     assert_eq!(status(&answer), "200", "{answer}");
 }
 
+/// Waits until so many requests run.
+async fn until_running(node: &NodeContext, wanted: u64) {
+    let proxy = node.get::<Rc<Proxy>>().expect("a proxy");
+    while proxy.running() != wanted {
+        actix_rt::time::sleep(std::time::Duration::from_millis(1)).await;
+    }
+}
+
+/// Guards against answers that are cut off by the end of the process since only their requests
+/// counted as running (LOST; review case 4): they run until the client has been sent all of it.
+#[actix_rt::test]
+async fn an_answer_that_is_still_being_sent_is_a_running_request() {
+    /// More than sockets hold between a writer and a reader that has stopped, bytes.
+    const BODY_BYTES: usize = 48 << 20;
+    let (_script, address) = worker(vec![ok(&"x".repeat(BODY_BYTES)), ok("brief")]).await;
+    let (node, front_address) = node(&[address]).await;
+    let proxy = node.get::<Rc<Proxy>>().expect("a proxy");
+    let mut io = TcpStream::connect(front_address).await.expect("connects");
+    let keep = |path| get(path).replace("Connection: close, X-Hop\r\n", "");
+    io.write_all(keep("/again/long").as_bytes()).await.expect("sends");
+    let mut part = vec![0; 1 << 16];
+    let mut got = io.read(&mut part).await.expect("the head");
+    // The client takes nothing more for a while.
+    actix_rt::time::sleep(std::time::Duration::from_millis(300)).await;
+    assert_eq!(proxy.running(), 1, "the answer has not been sent");
+    while got < BODY_BYTES {
+        got += io.read(&mut part).await.expect("the body");
+    }
+    until_running(&node, 0).await;
+    // The connection goes on, and with it the count.
+    io.write_all(keep("/again/brief").as_bytes())
+        .await
+        .expect("sends");
+    assert!(io.read(&mut part).await.expect("an answer") > 0);
+    until_running(&node, 0).await;
+    // A client that leaves ends its request.
+    io.write_all(keep("/again/brief").as_bytes())
+        .await
+        .expect("sends");
+    drop(io);
+    until_running(&node, 0).await;
+}
+
 /// Guards against requests that are taken between the last look at what runs and the end of the
 /// process (LOST): it ends at once, and what it takes then is cut off, although a worker may have
 /// run it.
--- a/crates/pebblepond/src/proxy/listener.rs
+++ b/crates/pebblepond/src/proxy/listener.rs
@@ -1,34 +1,20 @@
 //! Accepts clients' connections. One HTTP service is built for each set of timeouts that the
 //! configuration lays down.
 
+use super::connection::ClientStream;
 use super::Proxy;
 use crate::sockets;
 use actix_http::error::DispatchError;
 use actix_http::{HttpService, Request};
 use actix_service::{boxed, fn_service, Service, ServiceFactory};
 use config::constants as c;
-use std::cell::Cell;
 use std::convert::Infallible;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 
-type HttpConnections = boxed::BoxService<TcpStream, (), DispatchError>;
-
-/// Whether a client's connection has been told to end: what the client sent
-/// ahead (pipelined) behind that is not run, since it may have gone elsewhere.
-#[derive(Clone, Default)]
-pub(super) struct ClosingConnection(Rc<Cell<bool>>);
-
-impl ClosingConnection {
-    pub(super) fn is_closing(&self) -> bool {
-        self.0.get()
-    }
-
-    pub(super) fn set_closing(&self, is_closing: bool) {
-        self.0.set(is_closing);
-    }
-}
+type HttpConnections = boxed::BoxService<(ClientStream, Option<SocketAddr>), (), DispatchError>;
 
 /// What a client has to keep to on its connection.
 #[derive(Clone, Copy, PartialEq)]
@@ -56,7 +42,8 @@
         let service = service.clone();
         actix_rt::spawn(async move {
             // How a client's connection ends is the client's affair.
-            let _ = service.call(stream).await;
+            let peer = stream.peer_addr().ok();
+            let _ = service.call((ClientStream::new(stream), peer)).await;
         });
     }
 }
@@ -84,11 +71,10 @@
         .client_request_timeout(Duration::from_millis(timeouts.header_ms))
         .client_disconnect_timeout(Duration::from_millis(c::CONNECT_TIMEOUT_MS))
         .h1_allow_half_closed(false)
-        .on_connect_ext(|_: &TcpStream, data| {
-            data.insert(ClosingConnection::default());
+        .on_connect_ext(|stream: &ClientStream, data| {
+            data.insert(stream.state());
         })
-        .h1(service)
-        .tcp();
+        .h1(service);
     let service = factory.new_service(()).await.ok()?;
     Some(Rc::new(boxed::service(service)))
 }
--- a/crates/pebblepond/src/proxy/mod.rs
+++ b/crates/pebblepond/src/proxy/mod.rs
@@ -8,13 +8,16 @@
 //!    here, with the promise that it has not run;
 //! 4. [`attempts`] chooses workers and sends the request until an answer may be passed on, or
 //!    nothing more may be tried;
-//! 5. [`response`] passes the answer back.
+//! 5. [`response`] passes the answer back; the request runs ([`running`]) until all of that has been
+//!    handed to the kernel ([`connection`]).
 
 mod attempts;
+mod connection;
 mod headers;
 mod listener;
 mod request;
 mod response;
+mod running;
 
 use crate::balancer_actor::BalancerActor;
 use crate::kernel::{Component, NodeContext, StartError};
@@ -24,9 +27,9 @@
 use actix_http::body::BoxBody;
 use actix_http::{ConnectionType, Request, Response};
 use config::constants as c;
-use listener::ClosingConnection;
+use connection::ConnectionState;
 use response::closing;
-use std::cell::Cell;
+use running::RunningRequests;
 use std::rc::Rc;
 
 inventory::submit! { Component { name: "proxy", order: 80, start } }
@@ -47,7 +50,7 @@
         context: context.clone(),
         balancer_actor,
         upstream,
-        running: Cell::new(0),
+        running: RunningRequests::default(),
     });
     context.put(proxy.clone());
     actix_rt::spawn(listener::accept(proxy, listener));
@@ -59,24 +62,24 @@
     context: Rc<NodeContext>,
     balancer_actor: Addr<BalancerActor>,
     upstream: Rc<Upstream>,
-    running: Cell<u64>,
+    running: RunningRequests,
 }
 
 /// An answer of the node's own, which ends a request before a worker's answer can.
 type Refusal = Response<BoxBody>;
 
 impl Proxy {
-    /// Requests being served.
+    /// Requests being served: their answers have not been handed over completely.
     pub fn running(&self) -> u64 {
-        self.running.get()
+        self.running.count()
     }
 
     /// Serves one request.
     async fn serve(&self, request: Request) -> Response<BoxBody> {
-        let guard = RunningGuard::new(&self.running);
+        let guard = self.running.begin();
         let was_shutting_down = self.context.shutting_down.get();
         let connection = request
-            .conn_data::<ClosingConnection>()
+            .conn_data::<ConnectionState>()
             .cloned()
             .unwrap_or_default();
         if connection.is_closing() {
@@ -86,13 +89,12 @@
         let mut response = match self.handle(request).await {
             Ok(response) | Err(response) => response,
         };
-        drop(guard);
         if was_shutting_down || self.context.shutting_down.get() {
             response.head_mut().set_connection_type(ConnectionType::Close);
         }
         let node_closes = response.head().connection_type() == ConnectionType::Close;
         connection.set_closing(client_closes || node_closes);
-        response
+        response.map_body(|_, body| connection.run_until_sent(guard, body))
     }
 
     async fn handle(&self, mut request: Request) -> Result<Response<BoxBody>, Refusal> {
@@ -100,19 +102,3 @@
         self.forward(&request, checked).await
     }
 }
-
-/// Counts a request as being served for as long as it lives.
-struct RunningGuard<'a>(&'a Cell<u64>);
-
-impl RunningGuard<'_> {
-    fn new(running: &Cell<u64>) -> RunningGuard<'_> {
-        running.set(running.get() + 1);
-        RunningGuard(running)
-    }
-}
-
-impl Drop for RunningGuard<'_> {
-    fn drop(&mut self) {
-        self.0.set(self.0.get() - 1);
-    }
-}
