Commands: one that names no base is carried out only while its caller waits

Cause: such a command was known as a repetition by the time at which a process had seen its like; that its caller had gone on was not looked at.

A command without a base is routed, and tried again, only while the kernel says that the connection is open on both sides; else it is dropped, and counted as `commands_abandoned`.

Why it works: a caller sends its attempts one after the other and closes each before the next, so that the one whose connection is open is the newest; the kernel knows of the close whenever the process reads.

--- a/crates/pebblepond/src/admin_http.rs
+++ b/crates/pebblepond/src/admin_http.rs
@@ -4,6 +4,7 @@
 mod rollouts;
 
 use crate::balancer_actor::{BalancerActor, ClientZone};
+use crate::caller::CallerConnection;
 use crate::control::{ExecuteCommand, RaftDriver};
 use crate::kernel::{Component, NodeContext, StartError};
 use crate::sockets;
@@ -22,6 +23,7 @@
 use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
+use tokio::net::TcpStream;
 
 inventory::submit! { Component { name: "admin_http", order: 90, start } }
 
@@ -64,6 +66,11 @@
     let factory = HttpService::build()
         .keep_alive(Duration::from_secs(5))
         .client_request_timeout(Duration::from_secs(3))
+        .on_connect_ext(|stream: &TcpStream, data| {
+            if let Ok(connection) = CallerConnection::of(stream) {
+                data.insert(connection);
+            }
+        })
         .finish(map_config(app, |()| AppConfig::default()))
         .tcp();
     actix_rt::spawn(async move {
@@ -99,8 +106,10 @@
     let Some(driver) = context.get::<Addr<RaftDriver>>() else {
         return HttpResponse::ServiceUnavailable().finish();
     };
+    let connection = request.conn_data::<CallerConnection>();
+    let caller = connection.map(CallerConnection::caller).unwrap_or_default();
     let answer = driver
-        .send(ExecuteCommand(command))
+        .send(ExecuteCommand { command, caller })
         .await
         .unwrap_or(CommandResponse {
             status: 503,
--- a/crates/pebblepond/src/control/commands.rs
+++ b/crates/pebblepond/src/control/commands.rs
@@ -3,6 +3,7 @@
 use super::driver::RaftDriver;
 use super::error::{is_not_leader, response, CommandError};
 use super::execution::execute;
+use crate::caller::Caller;
 use actix::prelude::*;
 use config::constants as c;
 use control_state::command_digests;
@@ -19,12 +20,18 @@
 /// the leader, until the caller would move on.
 #[derive(Message)]
 #[rtype(result = "CommandResponse")]
-pub struct ExecuteCommand(pub Command);
+pub struct ExecuteCommand {
+    /// What to do.
+    pub command: Command,
+    /// Who wants it.
+    pub caller: Caller,
+}
 
 impl Handler<ExecuteCommand> for RaftDriver {
     type Result = ResponseFuture<CommandResponse>;
 
-    fn handle(&mut self, ExecuteCommand(command): ExecuteCommand, actor: &mut Self::Context) -> Self::Result {
+    fn handle(&mut self, message: ExecuteCommand, actor: &mut Self::Context) -> Self::Result {
+        let ExecuteCommand { command, caller } = message;
         let driver = actor.address();
         let tag = self.tag(&command);
         let context = self.context.clone();
@@ -33,7 +40,8 @@
         Box::pin(async move {
             // The process may have stood still meanwhile: the caller has gone on.
             let is_over = || context.now() >= deadline;
-            let attempts = try_until_answered(&driver, command, tag, is_over);
+            let route = RouteCommand { command, tag, caller };
+            let attempts = try_until_answered(&driver, route, is_over);
             let answered = tokio::time::timeout(Duration::from_millis(c::COMMAND_TIMEOUT_MS), attempts).await;
             let answered = answered.unwrap_or(Err(CommandError::NoLeader));
             let answered = answered.unwrap_or_else(|error| error.response());
@@ -49,14 +57,13 @@
 /// Sends a command to whoever leads until one answers that does.
 async fn try_until_answered(
     driver: &Addr<RaftDriver>,
-    command: Command,
-    tag: Option<CommandTag>,
+    route: RouteCommand,
     is_over: impl Fn() -> bool,
 ) -> Result<CommandResponse, CommandError> {
     loop {
-        let route = RouteCommand(command.clone(), tag.clone());
-        let answered = match driver.send(route).await.map_err(|_| CommandError::Ending)? {
-            Route::Here => Some(execute(driver.clone(), command.clone(), tag.clone()).await),
+        let sent = driver.send(route.clone()).await;
+        let answered = match sent.map_err(|_| CommandError::Ending)? {
+            Route::Here => Some(execute(driver.clone(), route.command.clone(), route.tag.clone()).await),
             Route::Forwarded(response) => response.await.ok(),
             Route::Unknown => None,
             Route::Rejected(error) => return Err(error),
@@ -106,14 +113,23 @@
     Rejected(CommandError),
 }
 
-#[derive(Message)]
+#[derive(Clone, Message)]
 #[rtype(result = "Route")]
-struct RouteCommand(Command, Option<CommandTag>);
+struct RouteCommand {
+    command: Command,
+    tag: Option<CommandTag>,
+    caller: Caller,
+}
 
 impl Handler<RouteCommand> for RaftDriver {
     type Result = MessageResult<RouteCommand>;
-    fn handle(&mut self, RouteCommand(command, tag): RouteCommand, _: &mut Self::Context) -> Self::Result {
-        MessageResult(self.route(command, tag))
+    fn handle(&mut self, route: RouteCommand, _: &mut Self::Context) -> Self::Result {
+        // A command that names its base can come late: the log knows it by that.
+        if route.tag.is_some() && !route.caller.is_waiting() {
+            self.context.counters.add("commands_abandoned");
+            return MessageResult(Route::Rejected(CommandError::CallerGone));
+        }
+        MessageResult(self.route(route.command, route.tag))
     }
 }
 
--- a/crates/pebblepond/src/control/error.rs
+++ b/crates/pebblepond/src/control/error.rs
@@ -20,6 +20,9 @@
     /// No leader was found while the caller waits.
     #[error("no leader could be reached in time")]
     NoLeader,
+    /// Nobody waits for the command any more: its caller may have sent it again elsewhere.
+    #[error("the caller has closed its connection")]
+    CallerGone,
     /// This node has lost the majority; others may have it.
     #[error("no word of a majority for {silent_ms} ms")]
     OutOfContact {
@@ -104,6 +107,7 @@
             | CommandError::RolloutState(_) => 409,
             CommandError::Conflict(_) | CommandError::RolloutChanged(_) => 412,
             CommandError::Ending
+            | CommandError::CallerGone
             | CommandError::NoLeader
             | CommandError::OutOfContact { .. }
             | CommandError::TooFewVoters
--- a/crates/pebblepond/src/control_tests.rs
+++ b/crates/pebblepond/src/control_tests.rs
@@ -206,3 +206,39 @@
     let state = node.state.get();
     assert_eq!((state.version(), state.evacuated.len()), (1, 1));
 }
+
+/// A command to begin or to finish the evacuation of a zone.
+fn evacuation(what: &str) -> String {
+    format!("POST /evacuation/z/{what} HTTP/1.1\r\nHost: c\r\nContent-Length: 0\r\n\r\n")
+}
+
+/// A command that reaches a process which stands still, as this thread does meanwhile, from a
+/// caller that has gone on by then.
+fn leave_behind(control: SocketAddrV4, command: &str) {
+    let mut gone = std::net::TcpStream::connect(control).expect("connects");
+    std::io::Write::write_all(&mut gone, command.as_bytes()).expect("sends");
+}
+
+/// Guards against a command that is read late, when its caller has sent it again elsewhere, and
+/// takes back a newer one (EVAC; review case 5).
+#[actix_rt::test]
+async fn a_command_whose_caller_has_gone_is_not_carried_out() {
+    let (node, control, _folder) = control().await;
+    let first = closing(&replace("Base-Version: 0\r\n", CONFIG));
+    assert_eq!(status(&raw(control, &first).await), "200");
+    for what in ["begin", "finish", "begin"] {
+        let answer = raw(control, &closing(&evacuation(what))).await;
+        assert_eq!(status(&answer), "200", "{what}: {answer}");
+        actix_rt::time::sleep(Duration::from_millis(
+            config::constants::REPEATED_COMMAND_MS + 100,
+        ))
+        .await;
+    }
+    leave_behind(control, &evacuation("finish"));
+    leave_behind(control, &evacuation("begin"));
+    actix_rt::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(node.state.get().evacuated.get("z"), Some(&1));
+    let answer = raw(control, &closing(&evacuation("finish"))).await;
+    assert_eq!(status(&answer), "200", "{answer}");
+    assert!(node.state.get().evacuated.is_empty());
+}
--- a/crates/pebblepond/src/main.rs
+++ b/crates/pebblepond/src/main.rs
@@ -3,6 +3,7 @@
 
 mod admin_http;
 mod balancer_actor;
+mod caller;
 mod cli;
 mod control;
 mod counter_log;
