--- a/crates/key-ownership/src/manager.rs
+++ b/crates/key-ownership/src/manager.rs
@@ -159,9 +159,14 @@
     pub fn on_grant_result(&mut self, now: u64, call: &GrantCall, result: GrantResult) {
         let lease = &call.lease;
         let interval_ms = self.renewal_interval_ms;
+        let final_end = self.times.final_end(now);
         let Some(range) = self.waiting_range(lease, call.number) else {
             return;
         };
+        if result == GrantResult::Accepted {
+            // A last grant that is answered has arrived by now; there is but one.
+            range.final_expiry = range.final_expiry.min(final_end);
+        }
         let was_not_taken = matches!(result, GrantResult::NotSent | GrantResult::Fenced);
         let was_not_answered = matches!(result, GrantResult::NotSent | GrantResult::Unknown);
         range.call = None;
