Commands: the leader takes none that is older than the newest on its subject

A command that waits in a node that stands still, after it was passed on, reaches the leader when its caller has long been answered by another node, and is carried out again.

Cause: the leader ordered a command behind all that it knew, whatever the node that passed it on had seen.

Change: a tag says at which index the node stood when it last found the caller waiting (`awaited_at`, tag 8 of `CommandTag`; 0 from earlier versions, whose `as_of` stands for it). If another command on the subject stands behind that index, in the state or in the leader's log, the command is not proposed but routed again by its node while its caller waits (counter `commands_overtaken`). What is applied from the log is as before.

Why it works: a caller that still waits after its node has seen the newest command on the subject wants its own to come after that one.

--- a/crates/control-state/src/command_history.rs
+++ b/crates/control-state/src/command_history.rs
@@ -243,6 +243,26 @@
         })
     }
 
+    /// Whether another command on the subject stands behind all that the node of this one had seen
+    /// when its caller was last known to wait: the caller may have been answered elsewhere and
+    /// gone on, so that this one is older. `pending` are the commands in the leader's log.
+    pub fn is_overtaken<'a>(
+        &self,
+        tag: &CommandTag,
+        mut pending: impl Iterator<Item = (u64, &'a CommandTag)>,
+    ) -> bool {
+        let seen = tag.as_of.max(tag.awaited_at);
+        let is_newer = |index: u64, other: &CommandTag| {
+            let is_other = (other.incarnation, other.number) != (tag.incarnation, tag.number);
+            is_other && other.subject == tag.subject && index > seen
+        };
+        let is_newer_judged = |judged: &JudgedCommand| {
+            let other = judged.tag.as_ref();
+            other.is_some_and(|other| is_newer(judged.index, other))
+        };
+        pending.any(|(index, other)| is_newer(index, other)) || self.tagged.iter().any(is_newer_judged)
+    }
+
     /// The indexes of the commands with a tag that are remembered, ascending.
     pub fn tagged_indexes(&self) -> impl Iterator<Item = u64> + '_ {
         self.tagged.iter().map(|judged| judged.index)
--- a/crates/control-state/tests/command_history.rs
+++ b/crates/control-state/tests/command_history.rs
@@ -218,6 +218,7 @@
         digest: 2 + u64::from(begin),
         repeats: 0,
         cautious: false,
+        awaited_at: 0,
     }
 }
 
@@ -379,3 +380,38 @@
     }
     assert_eq!(state.evacuated.get("z"), Some(&1));
 }
+
+/// Guards against a command that is held up between two nodes and comes after newer ones on its
+/// subject (EVAC): it is not ordered behind what its caller may have sent since.
+#[test]
+fn a_command_that_is_older_than_another_on_its_subject_is_overtaken() {
+    let mut state = ControlState::default();
+    for (index, begin) in [(1, true), (2, false), (3, true)] {
+        let data = Change::encode_tagged(evacuation(begin), Some(tag(index, index - 1, begin)));
+        assert_eq!(state.apply(index, &data), Outcome::Applied);
+    }
+    let is_overtaken = |tag: &CommandTag| state.command_history.is_overtaken(tag, std::iter::empty());
+    // The finish that was sent first to a node which passed it on too late.
+    let late = tag(9, 1, false);
+    assert!(is_overtaken(&late));
+    // Its caller still waited when the node had seen the newest one.
+    let awaited = CommandTag {
+        awaited_at: 3,
+        ..late.clone()
+    };
+    assert!(!is_overtaken(&awaited));
+    assert!(!is_overtaken(&tag(9, 3, false)));
+    // Sent again to a new leader, it is the newest itself, and known.
+    assert!(!is_overtaken(&tag(3, 2, true)));
+    // Another subject has an order of its own.
+    let elsewhere = CommandTag {
+        subject: 7,
+        ..late.clone()
+    };
+    assert!(!is_overtaken(&elsewhere));
+    // What waits in the leader's log is newer than all that any node has seen.
+    let pending = tag(4, 3, false);
+    let history = &state.command_history;
+    assert!(history.is_overtaken(&awaited, [(4, &pending)].into_iter()));
+    assert!(!history.is_overtaken(&pending, [(4, &pending)].into_iter()));
+}
--- a/crates/pebblepond/src/control/commands.rs
+++ b/crates/pebblepond/src/control/commands.rs
@@ -63,7 +63,7 @@
     loop {
         let sent = driver.send(route.clone()).await;
         let answered = match sent.map_err(|_| CommandError::Ending)? {
-            Route::Here => Some(execute(driver.clone(), route.command.clone(), route.tag.clone()).await),
+            Route::Here(tag) => Some(execute(driver.clone(), route.command.clone(), tag).await),
             Route::Forwarded(response) => response.await.ok(),
             Route::Unknown => None,
             Route::Rejected(error) => return Err(error),
@@ -103,8 +103,8 @@
 
 /// Where a command goes.
 enum Route {
-    /// This node leads.
-    Here,
+    /// This node leads; the tag as it is now.
+    Here(Option<CommandTag>),
     /// To the leader; its response.
     Forwarded(oneshot::Receiver<CommandResponse>),
     /// Nobody is known to lead.
@@ -124,12 +124,20 @@
 impl Handler<RouteCommand> for RaftDriver {
     type Result = MessageResult<RouteCommand>;
     fn handle(&mut self, route: RouteCommand, _: &mut Self::Context) -> Self::Result {
+        let RouteCommand {
+            command,
+            mut tag,
+            caller,
+        } = route;
         // A command that names its base can come late: the log knows it by that.
-        if route.tag.is_some() && !route.caller.is_waiting() {
-            self.context.counters.add("commands_abandoned");
-            return MessageResult(Route::Rejected(CommandError::CallerGone));
+        if let Some(tag) = &mut tag {
+            tag.awaited_at = self.state.index;
+            if !caller.is_waiting() {
+                self.context.counters.add("commands_abandoned");
+                return MessageResult(Route::Rejected(CommandError::CallerGone));
+            }
         }
-        MessageResult(self.route(route.command, route.tag))
+        MessageResult(self.route(command, tag))
     }
 }
 
@@ -145,6 +153,7 @@
             subject: digests.subject,
             digest: digests.command,
             repeats: 0,
+            awaited_at: 0,
             // A zone evacuated for too long costs work; one restored too soon breaks a promise.
             cautious: matches!(command, Command::Evacuate(change) if !change.begin),
         })
@@ -159,7 +168,11 @@
         }
         if self.raft.is_leader() {
             let in_contact = silent_ms < c::ELECTION_TIMEOUT_MS;
-            return if in_contact { Route::Here } else { Route::Unknown };
+            return if in_contact {
+                Route::Here(tag)
+            } else {
+                Route::Unknown
+            };
         }
         let leader = self.raft.leader_id();
         let Some(address) = (leader != 0).then(|| self.address_of(leader)).flatten() else {
--- a/crates/pebblepond/src/control/error.rs
+++ b/crates/pebblepond/src/control/error.rs
@@ -14,6 +14,10 @@
     /// This node does not lead; the command is for another.
     #[error("")]
     NotLeader,
+    /// A newer command on the same subject has come before it; to be routed again if its caller
+    /// still waits. Never leaves the nodes.
+    #[error("")]
+    Overtaken,
     /// The process ends.
     #[error("ending")]
     Ending,
@@ -98,7 +102,8 @@
     /// The HTTP status of the response.
     fn status(&self) -> u32 {
         match self {
-            CommandError::NotLeader => NOT_LEADER,
+            // Both are routed again, as long as the caller waits.
+            CommandError::NotLeader | CommandError::Overtaken => NOT_LEADER,
             CommandError::OutOfContact { are_alive: true, .. } => 307,
             CommandError::Invalid(_) | CommandError::InvalidField(_) | CommandError::Undecodable => 400,
             CommandError::NoConfiguration | CommandError::UnknownService | CommandError::NoRollout => 404,
--- a/crates/pebblepond/src/control/execution.rs
+++ b/crates/pebblepond/src/control/execution.rs
@@ -184,6 +184,10 @@
         if let Err(error) = self.check_voters() {
             return Box::pin(async { Err(error) });
         }
+        if tag.as_ref().is_some_and(|tag| self.is_overtaken(tag)) {
+            self.context.counters.add("commands_overtaken");
+            return Box::pin(async { Err(CommandError::Overtaken) });
+        }
         let settlement = self.propose_command(kind, tag);
         Box::pin(async move { Ok(settlement.await.ok().flatten()) })
     }
--- a/crates/pebblepond/src/control/proposals.rs
+++ b/crates/pebblepond/src/control/proposals.rs
@@ -75,10 +75,20 @@
 
     /// The index of the command that this one most likely repeats.
     pub(super) fn repeated(&self, tag: &CommandTag) -> Option<u64> {
-        let pending = self.proposals.iter();
-        let pending = pending.filter_map(|(index, p)| Some((*index, p.tag.as_ref()?)));
         let history = &self.state.command_history;
         self.recent_commands
-            .repeated(self.context.now(), history, tag, pending)
+            .repeated(self.context.now(), history, tag, self.pending_commands())
+    }
+
+    /// Whether a command comes too late to be ordered behind the newest on its subject.
+    pub(super) fn is_overtaken(&self, tag: &CommandTag) -> bool {
+        let history = &self.state.command_history;
+        history.is_overtaken(tag, self.pending_commands())
+    }
+
+    /// The commands with a tag that wait in the log, by index.
+    fn pending_commands(&self) -> impl Iterator<Item = (u64, &CommandTag)> {
+        let pending = self.proposals.iter();
+        pending.filter_map(|(index, p)| Some((*index, p.tag.as_ref()?)))
     }
 }
--- a/crates/protocol/src/command.rs
+++ b/crates/protocol/src/command.rs
@@ -129,6 +129,10 @@
     /// although another on the subject has come between.
     #[prost(bool, tag = "7")]
     pub cautious: bool,
+    /// The index that the node stood at when it last found the caller waiting; 0 from nodes of
+    /// earlier versions.
+    #[prost(uint64, tag = "8")]
+    pub awaited_at: u64,
 }
 
 /// The answer to a command.
--- a/crates/simulation/src/command_handler.rs
+++ b/crates/simulation/src/command_handler.rs
@@ -163,6 +163,7 @@
                 subject: digests.subject,
                 digest: digests.command,
                 repeats: 0,
+                awaited_at: 0,
                 cautious: !begin,
             });
             command.tag = tag.filter(|_| self.mutant != Mutant::SendsNoTag);
@@ -268,6 +269,9 @@
         actions: &mut Vec<HandlerAction>,
     ) -> Option<Reply> {
         let is_from_operator = running.is_from_operator();
+        if let Some(tag) = running.command.tag.as_mut().filter(|_| is_from_operator) {
+            tag.awaited_at = node.state.index;
+        }
         let silent_ms = match self.mutant {
             Mutant::RefusesByCopy | Mutant::ReadsCopy if node.raft.is_leader() => 0,
             _ => now.saturating_sub(node.raft.majority_heard_at(now)),
--- a/crates/simulation/src/command_handler/execution.rs
+++ b/crates/simulation/src/command_handler/execution.rs
@@ -35,6 +35,9 @@
             Request::Replace { content, .. } => self.replace(now, node, running, content.base, actions),
             Request::Evacuate { zone, begin } => {
                 let tag = running.command.tag.clone();
+                if tag.as_ref().is_some_and(|tag| self.is_overtaken(node, tag)) {
+                    return Err(NOT_LEADER);
+                }
                 let tag = tag.map(|tag| self.with_repeats(now, node, tag));
                 let kind = ChangeKind::Evacuate(evacuation(zone, *begin));
                 self.propose(node, running, kind, None, tag, actions)
@@ -85,11 +88,22 @@
         )
     }
 
+    /// The commands with a tag that wait in the log, by index.
+    fn pending_commands(&self) -> impl Iterator<Item = (u64, &CommandTag)> {
+        let pending = self.pending.iter();
+        pending.filter_map(|p| Some((p.index, p.tag.as_ref()?)))
+    }
+
+    /// Whether a command comes too late to be ordered behind the newest on its subject.
+    fn is_overtaken(&self, node: &Process, tag: &CommandTag) -> bool {
+        let history = &node.state.command_history;
+        history.is_overtaken(tag, self.pending_commands())
+    }
+
     /// A tag that says which recent command it most likely repeats.
     fn with_repeats(&self, now: u64, node: &Process, tag: CommandTag) -> CommandTag {
-        let pending = self.pending.iter();
-        let pending = pending.filter_map(|p| Some((p.index, p.tag.as_ref()?)));
         let history = &node.state.command_history;
+        let pending = self.pending_commands();
         let repeated = self.recent_commands.repeated(now, history, &tag, pending);
         CommandTag {
             repeats: repeated.unwrap_or(0),
--- a/crates/simulation/tests/repeat.rs
+++ b/crates/simulation/tests/repeat.rs
@@ -33,5 +33,5 @@
         total.wipes,
         total.processes,
     ];
-    assert_eq!(counts, [29079, 215, 4, 218, 1348, 572, 336, 26, 703]);
+    assert_eq!(counts, [29288, 215, 4, 218, 1358, 570, 338, 26, 703]);
 }
