Commands: one whose answers stay lost is a repetition as long as it is sent again

Seen: review, "An order applied twice", by reading: a command without a base whose answers are lost for over 3 s is carried out again, though callers send it again for `Acknowledge` (6 s). A finish sent so may take back another operator's evacuation; a begin needs a second finish.

Cause: the time within which a like command is a repetition ran from the first attempt.

Change: it runs from the last attempt that the leader has seen (`RecentCommands::note_repeated`); the simulated nodes do the same. A new leader counts from when it saw the first applied, as before.

--- a/crates/control-state/tests/command_history.rs
+++ b/crates/control-state/tests/command_history.rs
@@ -2,7 +2,7 @@
 //! again in any order and after any snapshot, and commands without a base by their tags.
 
 use config::constants as c;
-use control_state::{Confirmation, ControlState, Judgement, Outcome};
+use control_state::{Confirmation, ControlState, Judgement, Outcome, RecentCommands};
 use protocol::{Change, ChangeKind, CommandTag, ConfigurationCommand, EvacuationChange};
 use std::collections::BTreeMap;
 
@@ -415,3 +415,25 @@
     assert!(history.is_overtaken(&awaited, [(4, &pending)].into_iter()));
     assert!(!history.is_overtaken(&pending, [(4, &pending)].into_iter()));
 }
+
+/// Guards against a command that is carried out once more since the answers to it were lost for
+/// longer than one is taken for a repetition after the first (EVAC).
+#[test]
+fn a_command_that_is_sent_again_and_again_is_one() {
+    let mut state = ControlState::default();
+    let data = Change::encode_tagged(evacuation(true), Some(tag(1, 0, true)));
+    state.apply(1, &data);
+    let mut recent = RecentCommands::default();
+    recent.note(1000, &state.command_history);
+    let pause = c::REPEATED_COMMAND_MS - 1;
+    for attempt in 1..=5 {
+        let now = 1000 + attempt * pause;
+        let again = tag(1 + attempt, 1, true);
+        let repeated = recent.repeated(now, &state.command_history, &again, std::iter::empty());
+        assert_eq!(repeated, Some(1), "attempt {attempt}");
+        recent.note_repeated(now, 1);
+    }
+    let now = 1000 + 6 * pause + 1;
+    let later = recent.repeated(now, &state.command_history, &tag(9, 1, true), std::iter::empty());
+    assert_eq!(later, None, "one that comes much later is another");
+}
--- a/crates/pebblepond/src/control/proposals.rs
+++ b/crates/pebblepond/src/control/proposals.rs
@@ -66,8 +66,12 @@
 
     /// Puts a command into the log; one that seems to be sent again says so there.
     pub(super) fn propose_command(&mut self, kind: ChangeKind, tag: Option<CommandTag>) -> Settlement {
+        let repeated = tag.as_ref().and_then(|tag| self.repeated(tag));
+        if let Some(index) = repeated {
+            self.recent_commands.note_repeated(self.context.now(), index);
+        }
         let tag = tag.map(|tag| CommandTag {
-            repeats: self.repeated(&tag).unwrap_or(0),
+            repeats: repeated.unwrap_or(0),
             ..tag
         });
         self.propose(kind, tag)
--- a/crates/simulation/src/command_handler/execution.rs
+++ b/crates/simulation/src/command_handler/execution.rs
@@ -101,10 +101,13 @@
     }
 
     /// A tag that says which recent command it most likely repeats.
-    fn with_repeats(&self, now: u64, node: &Process, tag: CommandTag) -> CommandTag {
+    fn with_repeats(&mut self, now: u64, node: &Process, tag: CommandTag) -> CommandTag {
         let history = &node.state.command_history;
         let pending = self.pending_commands();
         let repeated = self.recent_commands.repeated(now, history, &tag, pending);
+        if let Some(index) = repeated {
+            self.recent_commands.note_repeated(now, index);
+        }
         CommandTag {
             repeats: repeated.unwrap_or(0),
             ..tag
