Logs: evacuations as each node goes by them, and commands that nobody waits for

Cause: the records of requests in evacuated zones could not be told apart by the logs: no line said which node went by which evacuation, since when, and what had brought it.

`event=configuration` names its source as well.

--- a/crates/pebblepond/src/admin_http.rs
+++ b/crates/pebblepond/src/admin_http.rs
@@ -236,8 +236,14 @@
     if !context.0.settings.get().network.zones.contains_key(&zone) {
         return error_response(StatusCode::NOT_FOUND, "no such zone");
     }
-    let change = EvacuationChange { zone, begin };
-    run_command(&context.0, &request, Command::Evacuate(change)).await
+    let change = EvacuationChange {
+        zone: zone.clone(),
+        begin,
+    };
+    let answer = run_command(&context.0, &request, Command::Evacuate(change)).await;
+    let status = answer.status().as_u16();
+    log::info!("event=evacuation_command zone={zone} what={what} status={status}");
+    answer
 }
 
 #[derive(serde::Deserialize)]
--- a/crates/pebblepond/src/control/commands.rs
+++ b/crates/pebblepond/src/control/commands.rs
@@ -134,6 +134,11 @@
             tag.awaited_at = self.state.index;
             if !caller.is_waiting() {
                 self.context.counters.add("commands_abandoned");
+                log::warn!(
+                    "event=command_abandoned number={} as_of={}",
+                    tag.number,
+                    tag.as_of
+                );
                 return MessageResult(Route::Rejected(CommandError::CallerGone));
             }
         }
--- a/crates/pebblepond/src/control/driver.rs
+++ b/crates/pebblepond/src/control/driver.rs
@@ -14,7 +14,7 @@
 use protocol::{ChangeKind, CommandResponse, Incarnation, PendingCalls, RangeDigests};
 use raft::{EntryType, RaftNode, Role, Snapshot, UpstreamSelector};
 use rand::Rng;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot};
@@ -234,22 +234,25 @@
         // Raft installs none that cannot be read.
         if let Ok(state) = ControlState::from_snapshot(snapshot.index, &snapshot.data) {
             if state.index > self.state.index {
-                self.state = state;
-                self.context.state.set(self.state.clone());
+                self.replace_state(state, "snapshot");
             }
         }
         self.raft.on_applied(self.state.index);
     }
 
+    /// Puts another copy in the place of this one.
+    pub(super) fn replace_state(&mut self, state: ControlState, source: &'static str) {
+        let before = std::mem::replace(&mut self.state, state);
+        log_changes(&before, &self.state, source);
+        self.context.state.set(self.state.clone());
+    }
+
     fn apply(&mut self, entry: &raft::Entry) {
         let mut outcome = None;
         if entry.entry_type == EntryType::Command as i32 {
-            let before = self.state.version();
+            let before = self.context.state.get();
             outcome = Some(self.state.apply(entry.index, &entry.data));
-            let version = self.state.version();
-            if version != before {
-                log::info!("event=configuration version={version} index={}", entry.index);
-            }
+            log_changes(&before, &self.state, "log");
         } else {
             self.state.index = self.state.index.max(entry.index);
         }
@@ -277,6 +280,26 @@
     }
 }
 
+/// Says which configuration and which evacuations are in force now, if that has changed: what
+/// this node goes by from here on, and at which index of the log.
+fn log_changes(before: &ControlState, now: &ControlState, source: &'static str) {
+    let (version, index) = (now.version(), now.index);
+    if version != before.version() {
+        log::info!("event=configuration version={version} index={index} source={source}");
+    }
+    if now.evacuated == before.evacuated {
+        return;
+    }
+    let zones: BTreeSet<&String> = before.evacuated.keys().chain(now.evacuated.keys()).collect();
+    for zone in zones {
+        let count = |state: &ControlState| state.evacuated.get(zone).copied().unwrap_or(0);
+        let (was, is) = (count(before), count(now));
+        if was != is {
+            log::info!("event=evacuation zone={zone} in_force={is} was={was} index={index} source={source}");
+        }
+    }
+}
+
 impl Actor for RaftDriver {
     type Context = Context<Self>;
 
--- a/crates/pebblepond/src/control/peers.rs
+++ b/crates/pebblepond/src/control/peers.rs
@@ -163,8 +163,7 @@
                 repair.ranges.len()
             );
             self.context.counters.add("repaired_from_peers");
-            self.state = state;
-            self.context.state.set(self.state.clone());
+            self.replace_state(state, "repair");
             self.is_repaired = true;
             self.publish();
         }
