Keys: a new token for a holder takes over the end of its lease under the old one

A range whose holder was fenced, whose grant under a new token was not sent, and whose holder then left the list, was free at once while its old lease went on.

Cause: the ends of leases are kept by token, and none was known of the new one.

Change: when a change gives a holder its range under another token, the end of the old lease is noted for it; ends of tokens that are still to be logged are kept.

Measured: the new test fails on the code before (freed at 2900 ms, lease until 5300) and passes; ownership and model pass.

--- a/crates/key-ownership/src/manager/round.rs
+++ b/crates/key-ownership/src/manager/round.rs
@@ -78,7 +78,7 @@
         self.has_new_loads |= self.loads.close_period(now);
         let tables = state.key_leases.values();
         let leases: Vec<Arc<KeyLease>> = tables.flat_map(|t| t.values().cloned()).collect();
-        self.forget_gone(&leases);
+        self.forget_gone(&leases, state.highest_fencing_token());
         let pending = PendingCalls::of(&self.ranges);
         let mut round = Round::default();
         for lease in &leases {
@@ -106,9 +106,10 @@
         }
     }
 
-    /// Drops what is known of ranges that are no more. With hundreds of holders, checking each
-    /// against every other would take the leader longer than the renewals.
-    fn forget_gone(&mut self, leases: &[Arc<KeyLease>]) {
+    /// Drops what is known of ranges that are no more; tokens above the highest are still to be
+    /// logged. With hundreds of holders, checking each against every other would take the leader
+    /// longer than the renewals.
+    fn forget_gone(&mut self, leases: &[Arc<KeyLease>], highest_token: u64) {
         let held: HashSet<(&str, u32, u64)> = leases
             .iter()
             .map(|l| (l.service.as_str(), l.from, l.fencing_token))
@@ -117,7 +118,8 @@
             range.call.is_some() || held.contains(&(key.service.as_str(), key.from, key.token))
         });
         let tokens: HashSet<u64> = leases.iter().map(|l| l.fencing_token).collect();
-        self.expiries.retain(|token, _| tokens.contains(token));
+        self.expiries
+            .retain(|token, _| *token > highest_token || tokens.contains(token));
     }
 
     fn check_lease(
@@ -291,12 +293,27 @@
             changes = assignment.rebalance();
         }
         self.has_new_loads &= !checks_balance;
+        self.inherit_expiries(state, &changes);
         if !changes.is_empty() {
             self.awaits_log = true;
             round.actions.push(Action::Log(changes));
         }
     }
 
+    /// A holder that is to have its range under a new token may hold it under the old one until
+    /// that lease ends, whatever becomes of the new one.
+    fn inherit_expiries(&mut self, state: &ControlState, changes: &[KeyLease]) {
+        for change in changes.iter().filter(|change| !change.worker.is_empty()) {
+            let before = state.key_lease(&change.service, change.from);
+            let before = before.filter(|lease| lease.worker == change.worker);
+            let Some(before) = before.filter(|lease| lease.fencing_token != change.fencing_token) else {
+                continue;
+            };
+            let expiry = self.expiry(before.fencing_token);
+            self.expiries.insert(change.fencing_token, expiry);
+        }
+    }
+
     /// Whether a worker warms up or has lately answered no grant.
     fn is_weak(&self, now: u64, id: &str) -> bool {
         self.warming.get(id).is_some_and(|w| now < w.until)
--- a/crates/key-ownership/tests/ownership.rs
+++ b/crates/key-ownership/tests/ownership.rs
@@ -523,6 +523,45 @@
         .any(|a| matches!(a, Action::Grant(g) if g.lease.fencing_token == top + 1)));
 }
 
+/// Guards against a range that is freed while its holder goes on under the token that it had
+/// before a new one was logged for it, and never arrived (OWNER).
+#[test]
+fn a_holder_under_a_new_token_keeps_its_keys_until_the_lease_under_the_old_one_has_ended() {
+    let mut p = Scenario::new(2);
+    p.run(2000, "");
+    let held = p.holds.iter().filter(|h| h.worker == "w0");
+    let lease_end = held.map(|h| h.until).max().expect("it holds keys");
+    let call = until(&mut p, |act| match act {
+        Action::Grant(g) if g.lease.worker == "w0" => Some(g.clone()),
+        _ => None,
+    });
+    let old_token = call.lease.fencing_token;
+    p.ownership.on_grant_result(p.now, &call, GrantResult::Fenced);
+    while p
+        .state
+        .key_lease("s", call.lease.from)
+        .is_some_and(|l| l.fencing_token == old_token)
+    {
+        p.now += 100;
+        for act in p.ownership.tick(p.now, &p.state) {
+            match act {
+                Action::Log(put) => p.log(put),
+                Action::Grant(g) => p.ownership.on_grant_result(p.now, &g, GrantResult::NotSent),
+                Action::Release(r) => p.ownership.on_release_result(p.now, &r, ReleaseResult::Failed),
+            }
+        }
+    }
+    p.change(ChangeKind::Workers(WorkersChange {
+        removed: vec!["w0".into()],
+        ..Default::default()
+    }));
+    while p.held_by("w0") > 0 {
+        p.run(100, "");
+        assert!(p.now < lease_end + 2 * c::KEY_LEASE_MS, "freed in the end");
+    }
+    assert!(p.now >= lease_end, "{} before {lease_end}", p.now);
+}
+
 #[test]
 fn restored_zone_gets_no_keys_before_the_list_was_read_again() {
     let mut p = Scenario::new(3);
