Fleet test: soak, whole fleets under faults in series, judged by what was seen

Freezes, kills, SIGTERM (again), SIGHUP and restarts come in series and overlap, never more voters at a time than the settings tolerate.

Shown to find: a planted breach of each rule (`tests/soak_checker.rs`, nine tests).

A fleet may have 100 machines; addresses are looked for in time.

--- a/crates/fleet-test/src/fleet.rs
+++ b/crates/fleet-test/src/fleet.rs
@@ -14,6 +14,8 @@
 
 /// Seeds named in the settings (deployment page), machines.
 const SEEDS: u8 = 3;
+/// Machines that may be added to a fleet, machines.
+const SPARE_MACHINES: u8 = 8;
 /// Pause between two looks at what is waited for, ms.
 const LOOK_MS: u64 = 20;
 
@@ -40,9 +42,9 @@
         let program = program
             .canonicalize()
             .map_err(|e| format!("{}: {e}", program.display()))?;
-        let net = Net::find(settings::MACHINES)?;
-        let guard = Guard::set()?;
         let count = plan.with_disk + plan.without_disk;
+        let net = Net::find((count + SPARE_MACHINES).min(settings::MACHINES))?;
+        let guard = Guard::set()?;
         let nodes = (1..=count).map(|n| Node::new(guard.folder(), n, n <= plan.with_disk));
         let mut fleet = Fleet {
             nodes: nodes.collect(),
--- a/crates/fleet-test/src/lib.rs
+++ b/crates/fleet-test/src/lib.rs
@@ -33,6 +33,8 @@
 pub mod scenarios;
 /// Settings files.
 pub mod settings;
+/// Soaks: whole fleets under faults in series, judged by what clients, workers and operators saw.
+pub mod soak;
 
 /// What keeps a scenario from being run: no statement about the system.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/crates/fleet-test/src/main.rs
+++ b/crates/fleet-test/src/main.rs
@@ -4,6 +4,7 @@
 use fleet_test::fleet::{Fleet, Plan};
 use fleet_test::program;
 use fleet_test::scenarios::{by_name, Options, Pace, Scenario, Verdict, ALL, STORM};
+use fleet_test::soak;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
@@ -63,6 +64,21 @@
         #[arg(long, default_value_t = 1)]
         seed: u64,
     },
+    /// Run a fleet with clients, workers and operators under faults in series, and judge what they saw.
+    Soak {
+        /// What everything is drawn by.
+        #[arg(long, default_value_t = 1)]
+        seed: u64,
+        /// Time with faults, s.
+        #[arg(long = "for", default_value_t = 60, value_name = "SECONDS")]
+        seconds: u64,
+        /// Machines, five of them with a disk.
+        #[arg(long, default_value_t = 8, value_parser = clap::value_parser!(u8).range(5..=100))]
+        machines: u8,
+        /// Clients.
+        #[arg(long, default_value_t = 24)]
+        clients: usize,
+    },
     /// Start a fleet, print where each node listens, and wait.
     Up {
         /// Machines with a disk.
@@ -93,7 +109,7 @@
             found
         }
         Command::Storm { .. } => vec![&STORM],
-        Command::Up { .. } => Vec::new(),
+        Command::Up { .. } | Command::Soak { .. } => Vec::new(),
     };
     let program = match cli.program.clone().map_or_else(program::find, Ok) {
         Ok(program) => program,
@@ -133,6 +149,22 @@
     {
         return up(program, machines, without_disk, cli.keep).await;
     }
+    if let Command::Soak {
+        seed,
+        seconds,
+        machines,
+        clients,
+    } = cli.command
+    {
+        let options = soak::Options {
+            seed,
+            seconds,
+            machines,
+            clients,
+            keep: cli.keep,
+        };
+        return run_soak(program, options).await;
+    }
     let other_program = match cli.other_program.as_ref().map(|path| path.canonicalize()) {
         None => None,
         Some(Ok(path)) => Some(path),
@@ -196,6 +228,32 @@
     }
 }
 
+async fn run_soak(program: &Path, options: soak::Options) -> ExitCode {
+    let report = match soak::run(program, options).await {
+        Ok(report) => report,
+        Err(e) => {
+            eprintln!("fleet-test: {e}");
+            return ExitCode::from(exit::NOT_RUN);
+        }
+    };
+    let broken = report.violations.len();
+    for (violation, lines) in report.violations.iter().take(SHOWN) {
+        println!("{} at {} ms: {}", violation.rule, violation.at, violation.what);
+        for line in lines.iter().rev().take(LOG_LINES).rev() {
+            println!("    {line}");
+        }
+    }
+    let verdict = match broken {
+        0 => "held".to_string(),
+        _ => format!("BROKEN, {broken} times"),
+    };
+    println!("seed {}: {verdict}; {}", options.seed, report.summary);
+    ExitCode::from(if broken > 0 { exit::BROKEN } else { 0 })
+}
+
+/// Log lines printed with a breach, lines.
+const LOG_LINES: usize = 40;
+
 async fn up(program: &Path, with_disk: u8, without_disk: u8, keep: bool) -> ExitCode {
     let plan = Plan {
         with_disk,
--- a/crates/fleet-test/src/node.rs
+++ b/crates/fleet-test/src/node.rs
@@ -132,6 +132,11 @@
         self.signal(Signal::TERM)
     }
 
+    /// Tells the process that its settings file has changed.
+    pub fn hang_up(&mut self) -> Result<(), ScenarioError> {
+        self.signal(Signal::HUP)
+    }
+
     /// Whether the process has ended; `None` as long as it runs.
     pub fn ended(&mut self) -> Option<String> {
         let child = self.child.as_mut()?;
--- a/crates/fleet-test/src/settings.rs
+++ b/crates/fleet-test/src/settings.rs
@@ -9,7 +9,7 @@
 /// are dealt out to them.
 const REGIONS: [&str; 3] = ["north", "south", "east"];
 /// Machines that a fleet may come to have.
-pub const MACHINES: u8 = 16;
+pub const MACHINES: u8 = 100;
 /// Zones in the settings; those beyond the machines are for orders only.
 pub const ZONES: u8 = 100;
 
--- /dev/null
+++ b/crates/fleet-test/src/soak/staff.rs
@@ -0,0 +1,138 @@
+//! The workers of a soak and the platform's list of them: they are replaced one after the other,
+//! and some crash.
+
+use super::observations::{Record, WorkerFacts};
+use super::worker::Worker;
+use super::Routes;
+use crate::net::Net;
+use crate::platform::Instances;
+use crate::settings;
+use crate::ScenarioError;
+use rand::rngs::StdRng;
+use rand::seq::SliceRandom;
+use rand::Rng;
+use serde_json::json;
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddrV4;
+use std::rc::Rc;
+use std::time::Duration;
+
+/// Zones that workers are in.
+pub const ZONES: u8 = 4;
+/// Workers of each service in a zone.
+const WORKERS_PER_ZONE: u8 = 3;
+/// First machine number of the workers' addresses, above those of nodes.
+const FIRST_ADDRESS: u8 = 130;
+/// Addresses that workers take turns at.
+const ADDRESSES: u8 = 110;
+/// A worker that drains serves on for so long, ms: `Drain` and a little longer.
+const DRAIN_MS: u64 = 3200;
+/// A crashed worker stays on the list for so long, ms.
+const CRASHED_LISTED_MS: u64 = 2500;
+
+/// All workers.
+#[derive(Clone)]
+pub struct Staff {
+    record: Record,
+    net: Net,
+    instances: Instances,
+    workers: Rc<RefCell<Vec<Rc<Worker>>>>,
+    started: Rc<Cell<u32>>,
+}
+
+impl Staff {
+    /// No worker yet; they are to be listed there.
+    pub fn new(record: &Record, net: Net, instances: Instances) -> Staff {
+        Staff {
+            record: record.clone(),
+            net,
+            instances,
+            workers: Rc::default(),
+            started: Rc::default(),
+        }
+    }
+
+    /// Starts the workers of all zones.
+    pub async fn start_all(&self) -> Result<(), ScenarioError> {
+        for zone in 1..=ZONES {
+            for _ in 0..WORKERS_PER_ZONE {
+                for service in [Routes::PLAIN_SERVICE, Routes::KEYED_SERVICE] {
+                    self.start(service, &settings::zone(zone)).await?;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn start(&self, service: &str, zone: &str) -> Result<(), ScenarioError> {
+        let number = self.started.get();
+        self.started.set(number + 1);
+        // Identifiers are drawn: a newcomer stands anywhere in the list.
+        let id = format!("i-{:08x}", number.wrapping_mul(2_654_435_761));
+        let address = FIRST_ADDRESS + (number % u32::from(ADDRESSES)) as u8;
+        let address = SocketAddrV4::new(self.net.ip(address), self.net.front(0).port());
+        let is_partitioned = service == Routes::KEYED_SERVICE;
+        let worker = Worker::start(&self.record, &id, address, is_partitioned).await?;
+        self.record.note(|seen| {
+            let facts = WorkerFacts {
+                zone: zone.into(),
+                ..Default::default()
+            };
+            seen.workers.insert(id.clone(), facts)
+        });
+        self.workers.borrow_mut().push(worker);
+        if let Ok(mut listed) = self.instances.lock() {
+            listed.insert(
+                id,
+                json!({
+                    "Service": service, "Address": address.to_string(), "Zone": zone, "Version": "v1",
+                    "CapacitySlots": 60, "State": "ready", "ColdLeft": "0ms"
+                }),
+            );
+        }
+        Ok(())
+    }
+
+    /// Replaces a worker: the new one starts first, the old one drains or crashes.
+    pub async fn replace_one(&self, rng: &mut StdRng) -> Result<(), ScenarioError> {
+        let candidates: Vec<Rc<Worker>> = self.workers.borrow().clone();
+        let Some(old) = candidates.choose(rng).cloned() else {
+            return Ok(());
+        };
+        let entry = self.instances.lock().ok().and_then(|l| l.get(&old.id).cloned());
+        let Some(entry) = entry.filter(|e| e["State"] == "ready") else {
+            return Ok(());
+        };
+        let text = |name: &str| entry[name].as_str().unwrap_or_default().to_string();
+        self.start(&text("Service"), &text("Zone")).await?;
+        self.workers.borrow_mut().retain(|w| w.id != old.id);
+        let staff = self.clone();
+        let drains = rng.gen_bool(0.8);
+        actix_rt::spawn(async move { staff.let_go(&old, drains).await });
+        Ok(())
+    }
+
+    async fn let_go(&self, old: &Worker, drains: bool) {
+        if drains {
+            if let Ok(mut listed) = self.instances.lock() {
+                if let Some(entry) = listed.get_mut(&old.id) {
+                    entry["State"] = "draining".into();
+                }
+            }
+            let now = self.record.now();
+            self.record.note(|seen| {
+                if let Some(facts) = seen.workers.get_mut(&old.id) {
+                    facts.draining_at = Some(now);
+                }
+            });
+            actix_rt::time::sleep(Duration::from_millis(DRAIN_MS)).await;
+        }
+        old.end();
+        if !drains {
+            actix_rt::time::sleep(Duration::from_millis(CRASHED_LISTED_MS)).await;
+        }
+        if let Ok(mut listed) = self.instances.lock() {
+            listed.remove(&old.id);
+        }
+    }
+}
