--- a/crates/fleet-test/src/main.rs
+++ b/crates/fleet-test/src/main.rs
@@ -182,6 +182,11 @@
     if let Command::Storm { seconds, seed } = cli.command {
         (options.seconds, options.seed) = (seconds, seed);
     }
+    run_scenarios(chosen, program, &options).await
+}
+
+/// Runs scenarios one after the other, and prints what each came to.
+async fn run_scenarios(chosen: &[&Scenario], program: &Path, options: &Options) -> ExitCode {
     let mut code = 0;
     let mut lines = Vec::new();
     let all = Instant::now();
--- a/crates/fleet-test/src/soak/faults.rs
+++ b/crates/fleet-test/src/soak/faults.rs
@@ -2,7 +2,7 @@
 //! series and overlap. No more voters are in trouble at a time than the settings tolerate.
 
 use super::observations::{Record, Trouble, TroubleKind};
-use super::staff::Staff;
+use super::worker_pool::WorkerPool;
 use crate::fleet::Fleet;
 use crate::ScenarioError;
 use rand::rngs::StdRng;
@@ -47,7 +47,7 @@
 /// What injects faults.
 pub struct Faults<'a> {
     pub fleet: &'a mut Fleet,
-    pub staff: &'a Staff,
+    pub worker_pool: &'a WorkerPool,
     pub record: Record,
     pub rng: StdRng,
     pending: BTreeMap<u8, Pending>,
@@ -57,10 +57,15 @@
 
 impl<'a> Faults<'a> {
     /// Nothing has happened yet.
-    pub fn new(fleet: &'a mut Fleet, staff: &'a Staff, record: &Record, rng: StdRng) -> Faults<'a> {
+    pub fn new(
+        fleet: &'a mut Fleet,
+        worker_pool: &'a WorkerPool,
+        record: &Record,
+        rng: StdRng,
+    ) -> Faults<'a> {
         Faults {
             fleet,
-            staff,
+            worker_pool,
             record: record.clone(),
             rng,
             pending: BTreeMap::new(),
@@ -86,7 +91,7 @@
                 if is_busy && self.rng.gen_bool(0.6) {
                     self.trouble_a_node(now)?;
                 } else {
-                    self.staff.replace_one(&mut self.rng).await?;
+                    self.worker_pool.replace_one(&mut self.rng).await?;
                 }
             }
             actix_rt::time::sleep(Duration::from_millis(STEP_MS)).await;
--- a/crates/fleet-test/src/soak/mod.rs
+++ b/crates/fleet-test/src/soak/mod.rs
@@ -9,8 +9,8 @@
 mod http;
 pub mod observations;
 mod operator;
-mod staff;
 mod worker;
+mod worker_pool;
 
 use crate::fleet::{Fleet, Plan};
 use crate::{settings, ScenarioError};
@@ -21,11 +21,11 @@
 use operator::Operator;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
-use staff::Staff;
 use std::cell::Cell;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
+use worker_pool::WorkerPool;
 
 /// Entries on a page of the platform's list, entries: the list has several pages.
 const PAGE_ENTRIES: usize = 10;
@@ -105,13 +105,13 @@
     fleet
         .platform
         .set_pages(PAGE_ENTRIES, Duration::from_millis(PAGE_MS));
-    let staff = Staff::new(&record, *fleet.net(), fleet.platform.instances.clone());
-    staff.start_all().await?;
+    let worker_pool = WorkerPool::new(&record, *fleet.net(), fleet.platform.instances.clone());
+    worker_pool.start_all().await?;
     let soak = Soak {
         options,
         record: record.clone(),
         fleet,
-        staff,
+        worker_pool,
     };
     soak.run().await
 }
@@ -121,7 +121,7 @@
     options: Options,
     record: Record,
     fleet: Fleet,
-    staff: Staff,
+    worker_pool: WorkerPool,
 }
 
 impl Soak {
@@ -166,7 +166,7 @@
             .collect();
         let until = self.record.now() + self.options.seconds * 1000;
         let rng = self.rng(1);
-        let faults = Faults::new(&mut self.fleet, &self.staff, &self.record, rng);
+        let faults = Faults::new(&mut self.fleet, &self.worker_pool, &self.record, rng);
         faults.run(until).await?;
         stop_orders.set(true);
         pause(CALM_END_MS).await;
--- a/crates/fleet-test/src/soak/staff.rs
+++ b/crates/fleet-test/src/soak/worker_pool.rs
@@ -32,7 +32,7 @@
 
 /// All workers.
 #[derive(Clone)]
-pub struct Staff {
+pub struct WorkerPool {
     record: Record,
     net: Net,
     instances: Instances,
@@ -40,10 +40,10 @@
     started: Rc<Cell<u32>>,
 }
 
-impl Staff {
+impl WorkerPool {
     /// No worker yet; they are to be listed there.
-    pub fn new(record: &Record, net: Net, instances: Instances) -> Staff {
-        Staff {
+    pub fn new(record: &Record, net: Net, instances: Instances) -> WorkerPool {
+        WorkerPool {
             record: record.clone(),
             net,
             instances,
@@ -106,9 +106,9 @@
         let text = |name: &str| entry[name].as_str().unwrap_or_default().to_string();
         self.start(&text("Service"), &text("Zone")).await?;
         self.workers.borrow_mut().retain(|w| w.id != old.id);
-        let staff = self.clone();
+        let worker_pool = self.clone();
         let drains = rng.gen_bool(0.8);
-        actix_rt::spawn(async move { staff.let_go(&old, drains).await });
+        actix_rt::spawn(async move { worker_pool.let_go(&old, drains).await });
         Ok(())
     }
 
