--- a/crates/fleet-test/src/main.rs
+++ b/crates/fleet-test/src/main.rs
@@ -78,6 +78,9 @@
         /// Clients.
         #[arg(long, default_value_t = 24)]
         clients: usize,
+        /// Two operators evacuate the same zone.
+        #[arg(long)]
+        shared_zone: bool,
     },
     /// Start a fleet, print where each node listens, and wait.
     Up {
@@ -154,6 +157,7 @@
         seconds,
         machines,
         clients,
+        shared_zone,
     } = cli.command
     {
         let options = soak::Options {
@@ -161,6 +165,7 @@
             seconds,
             machines,
             clients,
+            is_zone_shared: shared_zone,
             keep: cli.keep,
         };
         return run_soak(program, options).await;
--- a/crates/fleet-test/src/soak/mod.rs
+++ b/crates/fleet-test/src/soak/mod.rs
@@ -79,6 +79,8 @@
     pub machines: u8,
     /// Clients.
     pub clients: usize,
+    /// Two operators evacuate one zone, in place of a zone each.
+    pub is_zone_shared: bool,
     /// Leave the folder with the logs where it is.
     pub keep: bool,
 }
@@ -147,6 +149,11 @@
         let mut operators = vec![actix_rt::spawn(self.operator(0, &stop_orders).configure())];
         pause(START_MS).await;
         for (place, zone) in EVACUATED_ZONES.into_iter().enumerate() {
+            let zone = if self.options.is_zone_shared {
+                EVACUATED_ZONES[0]
+            } else {
+                zone
+            };
             let operator = self.operator(place + 1, &stop_orders);
             operators.push(actix_rt::spawn(operator.evacuate(settings::zone(zone))));
         }
--- a/crates/pebblepond/tests/soak.rs
+++ b/crates/pebblepond/tests/soak.rs
@@ -14,6 +14,7 @@
         seconds: SECONDS,
         machines: 9,
         clients: 24,
+        is_zone_shared: false,
         keep: false,
     };
     let program = Path::new(env!("CARGO_BIN_EXE_pebblepond"));
