--- a/crates/fleet-test/src/soak/checker.rs
+++ b/crates/fleet-test/src/soak/checker.rs
@@ -6,11 +6,17 @@
 
 /// Bounds of the settings that a soak runs with, ms.
 mod bounds {
+    /// A node is in touch if nothing has befallen it for so long (`Contact`).
     pub const CONTACT: u64 = 4000;
+    /// A worker that drains may get requests for so long (`Drain`).
     pub const DRAIN: u64 = 2500;
+    /// An evacuated zone may get requests for so long (`Evacuation`).
     pub const EVACUATION: u64 = 5000;
+    /// A node may go by the configuration before for so long (`ConfigApply`).
     pub const CONFIG_APPLY: u64 = 2000;
+    /// From SIGTERM until a process is killed (`GracePeriod`).
     pub const GRACE_PERIOD: u64 = 6000;
+    /// A connection that ends so soon may not have been read (`LossSlack`).
     pub const LOSS_SLACK: u64 = 200;
     /// The list's delay, and that of the parties' own clocks.
     pub const LAG: u64 = 200;
--- a/crates/fleet-test/src/soak/faults.rs
+++ b/crates/fleet-test/src/soak/faults.rs
@@ -46,10 +46,10 @@
 
 /// What injects faults.
 pub struct Faults<'a> {
-    pub fleet: &'a mut Fleet,
-    pub worker_pool: &'a WorkerPool,
-    pub record: Record,
-    pub rng: StdRng,
+    fleet: &'a mut Fleet,
+    worker_pool: &'a WorkerPool,
+    record: Record,
+    rng: StdRng,
     pending: BTreeMap<u8, Pending>,
     /// Until when a voter counts as lost, ms.
     voter_lost_until: u64,
