--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -3,4 +3,4 @@
 # TROUBLE=0 plays it without the disruption. Needs the build of the deploy file and review/build-2.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/review-2/release/review-stand-ins-2 ] || exit 2
-exec timeout -k 2 115 target/review-2/release/review-stand-ins-2 upload review/9/record.txt
+exec timeout -k 2 115 target/review-2/release/review-stand-ins-2 core review/9/record.txt
--- a/review/stand-ins-2/src/cases/mod.rs
+++ b/review/stand-ins-2/src/cases/mod.rs
@@ -1,10 +1,10 @@
 //! The cases, by name.
 
+mod core;
 mod download;
 mod leave;
 mod pipeline;
 mod takeback;
-mod upload;
 
 use crate::fleet::{Fleet, HOST};
 use crate::record::Record;
@@ -21,10 +21,10 @@
 pub fn find(name: &str) -> Option<Play> {
     match name {
         "download" => Some(download::play),
+        "core" => Some(core::play),
         "leave" => Some(leave::play),
         "pipeline" => Some(pipeline::play),
         "takeback" => Some(takeback::play),
-        "upload" => Some(upload::play),
         _ => None,
     }
 }
--- a/review/stand-ins-2/src/fleet.rs
+++ b/review/stand-ins-2/src/fleet.rs
@@ -118,7 +118,7 @@
 }
 
 impl Fleet {
-    /// Starts three machines with disks and waits until all of them are ready; the configuration
+    /// Starts three machines with disks, numbers 1 to 3, and waits until all of them are ready; the configuration
     /// has the given version 1.
     pub fn start(record: &Record, configuration: &str, workers: &[Worker], net: Net) -> io::Result<Fleet> {
         let folder = std::env::temp_dir().join(format!("review-2-{}", std::process::id()));
@@ -195,10 +195,11 @@
 
     fn settings(&self, node: u8, is_initial_start: bool, disk: &str) -> String {
         let net = &self.net;
-        let (zone, region) = ZONES[usize::from(node) - 1];
+        // Machines that join later are in the last zone.
+        let (zone, region) = ZONES[usize::from(node).min(ZONES.len()) - 1];
         let seeds: Vec<String> = (1..=3).map(|n| format!("\"{}\"", net.control(n))).collect();
         let mut text = format!(
-            "Grants = \"invocation\"\n[OwnEntity]\nNodeName = \"edge-{zone}-1\"\nRole = \"balancer\"\nMachineClass = \"edge\"\n\
+            "Grants = \"invocation\"\n[OwnEntity]\nNodeName = \"edge-{zone}-{node}\"\nRole = \"balancer\"\nMachineClass = \"edge\"\n\
              Serves = [\"edge\",\"control\",\"directory\"]\nIpAddress = \"{}\"\nZone = \"{zone}\"\nRegion = \"{region}\"\n\
              LossCounted = true\nInitialStart = {is_initial_start}\nDataDirectory = \"{disk}\"\n\
              [OwnEntity.Limits]\nCpuFraction = 0.35\nCoreCount = 1\nMemoryMb = 260\nFileDescriptors = 4100\nLinkRateMbps = 1000.0\nDiskMb = 64\n\
@@ -239,8 +240,13 @@
 
     /// Sends an order to one node after the other until it is acknowledged.
     pub fn order(&self, path: &str, headers: &str, body: &str) -> io::Result<()> {
+        self.order_for(Duration::from_secs(25), path, headers, body)
+    }
+
+    /// Sends an order to one node after the other until it is acknowledged, for this long.
+    pub fn order_for(&self, limit: Duration, path: &str, headers: &str, body: &str) -> io::Result<()> {
         let started = Instant::now();
-        while started.elapsed() < Duration::from_secs(25) {
+        while started.elapsed() < limit {
             for node in 1..=ZONES.len() as u8 {
                 let address = self.net.control(node);
                 let request = format!(
