Membership: a core reaches a membership that takes commands when that is several changes away

Cause: the planner compares single changes and takes one only if it gains margin. Removing the lost voter gains none, only the removal of a surplus voter after it does, and that one waits until no voter is lost. Each waited for the other.

Change: if the voters tolerate no loss and no single change gains anything, the planner works out the best membership that the living machines can form, and takes a step to it that a majority of living voters can commit and that makes no scenario's margin worse.

--- a/crates/raft/src/membership_change/planner.rs
+++ b/crates/raft/src/membership_change/planner.rs
@@ -72,7 +72,7 @@
         // Of equal changes the first is chosen: lost voters are removed before learners are
         // promoted.
         let best = changes.rev().max_by_key(|c| c.margins);
-        let best = best.or_else(|| self.shrink())?;
+        let best = best.or_else(|| self.shrink()).or_else(|| self.step_to_target())?;
         let owned = |voters: Vec<&Voter>| voters.into_iter().cloned().collect();
         let tolerates_next_loss = margin(&best.voters, &[], self.tolerance) >= 0;
         Some(Membership {
@@ -260,6 +260,46 @@
         })
     }
 
+    /// Returns the next step to the best membership that the living machines can form, if the
+    /// voters tolerate no loss and no single change gains anything by itself: the better membership
+    /// is several changes away.
+    fn step_to_target(&self) -> Option<MembershipChange<'a>> {
+        if self.margin_with_vacancies(&self.voters) >= 0 {
+            return None;
+        }
+        let is_live = |v: &&Voter| !contains(&self.lost, v);
+        let live_voters = self.voters.iter().copied().filter(is_live);
+        let living: Vec<&Voter> = live_voters
+            .chain(self.promotable_learners.iter().copied())
+            .collect();
+        let target = self.tolerant_subset(&living)?;
+        let is_dead = |v: &&&Voter| !contains(&target, v) && self.is_removable(v);
+        let removals = self.lost.iter().filter(is_dead).map(|voter| {
+            let vacancies = self.vacancies.iter().copied().chain([*voter]).collect();
+            self.change_to(self.without(&[voter]), vacancies)
+        });
+        let is_missing = |v: &&&Voter| contains(&target, v);
+        let additions = self.promotable_learners.iter().filter(is_missing).map(|learner| {
+            let voters = self.voters.iter().copied().chain([*learner]).collect();
+            self.change_to(voters, self.vacancies.clone())
+        });
+        let is_safe = |c: &MembershipChange| self.has_live_majority(&c.voters) && self.is_no_worse(&c.voters);
+        let changes: Vec<MembershipChange> = removals.chain(additions).filter(is_safe).collect();
+        // Of equal changes the first is chosen: lost voters are removed first.
+        changes.into_iter().rev().max_by_key(|c| c.margins)
+    }
+
+    fn change_to(&self, voters: Vec<&'a Voter>, vacancies: Vec<&'a Voter>) -> MembershipChange<'a> {
+        MembershipChange {
+            margins: Margins {
+                next_loss: self.next_loss_margin(&voters),
+                current: self.current_margin(&voters),
+            },
+            vacancies,
+            voters,
+        }
+    }
+
     /// Returns a subset of these voters that tolerates a loss, obtained by leaving out surplus
     /// voters of failure domains, the last ones first. Returns `None` if there is no such
     /// subset or a step towards it makes the margin worse.
--- a/crates/raft/tests/cluster/mod.rs
+++ b/crates/raft/tests/cluster/mod.rs
@@ -2,6 +2,7 @@
 //! immediately, and messages take one step.
 #![allow(dead_code)]
 
+use prost::Message as _;
 use raft::*;
 
 pub const STEP_MS: u64 = 50;
@@ -42,6 +43,15 @@
 pub type NextMembership =
     fn(&RaftNode, u64, &[PeerObservation], FaultTolerance, VoterTimeouts) -> Option<Membership>;
 
+/// The part of a machine in a cluster whose voters are already set.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Part {
+    Voter,
+    /// A voter whose machine is permanently lost.
+    LostVoter,
+    Learner,
+}
+
 #[derive(Clone)]
 pub struct Machine {
     pub address: String,
@@ -110,6 +120,58 @@
         cluster
     }
 
+    /// Creates a cluster whose voters are already set, without the history that led to them. Each
+    /// machine has a region and a part; the voters come before the learners.
+    pub fn of_machines(machines: &[(usize, Part)], next_membership: NextMembership) -> Cluster {
+        let mut cluster = Cluster {
+            now: 1000,
+            machines: Vec::new(),
+            in_transit: Vec::new(),
+            next_id: 1,
+            pending: Vec::new(),
+            acknowledged: Vec::new(),
+            next_membership,
+            changes: 0,
+            cut_links: Vec::new(),
+        };
+        for (region, _) in machines {
+            cluster.add(*region);
+        }
+        let is_voter = |i: &usize| machines[*i].1 != Part::Learner;
+        let voters = (0..machines.len())
+            .filter(is_voter)
+            .map(|i| cluster.voter(i))
+            .collect();
+        let membership = Membership {
+            voters,
+            ..Default::default()
+        };
+        let persisted_state = PersistentState {
+            hard_state: HardState { term: 1, vote: 0 },
+            entries: vec![Entry {
+                index: 1,
+                term: 1,
+                entry_type: EntryType::Membership as i32,
+                data: membership.encode_to_vec(),
+            }],
+            ..Default::default()
+        };
+        for (i, (_, part)) in machines.iter().enumerate() {
+            match part {
+                Part::Learner => {}
+                Part::Voter => {
+                    cluster.machines[i].persisted_state = persisted_state.clone();
+                    cluster.start(i);
+                }
+                Part::LostVoter => {
+                    cluster.machines[i].node = None;
+                    cluster.machines[i].removed = true;
+                }
+            }
+        }
+        cluster
+    }
+
     pub fn add(&mut self, region: usize) {
         let address = format!("at-{}", self.machines.len());
         self.machines.push(Machine {
