--- a/crates/simulation/src/checker/evacuations.rs
+++ b/crates/simulation/src/checker/evacuations.rs
@@ -222,19 +222,22 @@
     }
 }
 
-/// Checks that no finish is acknowledged that has not ended an evacuation while its zone is
-/// evacuated: what an acknowledged command asks for is in force.
+/// Checks that no finish is acknowledged that changes nothing while its zone is evacuated: what an
+/// acknowledged command asks for is in force, or was when the command was first applied. A begin
+/// may have followed since.
 fn check_acknowledged_finishes(evidence: &mut Evidence, known_commands: &BTreeMap<u64, KnownCommand>) {
     let mut counts: BTreeMap<&str, u32> = BTreeMap::new();
-    let mut changed: BTreeSet<u64> = BTreeSet::new();
+    let mut fulfilled: BTreeSet<u64> = BTreeSet::new();
     let mut found = Vec::new();
     for e in &evidence.effects {
         let Some(command) = known_commands.get(&e.command) else {
             continue;
         };
         let count = counts.entry(&command.zone).or_default();
+        if e.changed || *count == 0 {
+            fulfilled.insert(e.command);
+        }
         if e.changed {
-            changed.insert(e.command);
             *count = if command.begin {
                 *count + 1
             } else {
@@ -245,7 +248,7 @@
         let attempt = evidence.attempts.get(&e.attempt);
         let reply = attempt.and_then(|a| a.reply.as_ref());
         let is_acknowledged = reply.is_some_and(|(_, reply)| reply.status == 200);
-        if is_acknowledged && !command.begin && *count > 0 && !changed.contains(&e.command) {
+        if is_acknowledged && !command.begin && !fulfilled.contains(&e.command) {
             found.push((e.at, e.command));
         }
     }
