fleet-test: kills of all processes between evacuations, and a voter that is lost while machines join

At its end a soak reads which zones are evacuated; one whose evacuations were all begun and finished with an acknowledgement must not be among them (RECOVER), with a test that plants a breach. Both scenarios run in tests/processes.rs.

--- a/crates/fleet-test/examples/pace.rs
+++ b/crates/fleet-test/examples/pace.rs
@@ -71,6 +71,7 @@
     let plan = Plan {
         with_disk: 5,
         without_disk: 1,
+        tolerated_regions: 0,
     };
     let mut fleet = Fleet::start(program, plan)?;
     let record = Record::default();
--- a/crates/fleet-test/src/fleet.rs
+++ b/crates/fleet-test/src/fleet.rs
@@ -24,6 +24,8 @@
 pub struct Plan {
     pub with_disk: u8,
     pub without_disk: u8,
+    /// Number of regions whose loss is to be tolerated, in the settings.
+    pub tolerated_regions: u8,
 }
 
 /// A fleet of real processes on loopback addresses.
@@ -33,6 +35,7 @@
     pub platform: Platform,
     net: Net,
     program: PathBuf,
+    tolerated_regions: u8,
     guard: Guard,
 }
 
@@ -51,6 +54,7 @@
             platform: Platform::start(net.platform())?,
             net,
             program: program.clone(),
+            tolerated_regions: plan.tolerated_regions,
             guard,
         };
         for number in 1..=count {
@@ -82,6 +86,7 @@
 
     fn launch(&mut self, number: u8, is_initial_start: bool, program: &Path) -> Result<(), ScenarioError> {
         let (net, group) = (self.net, self.guard.group());
+        let tolerated_regions = self.tolerated_regions;
         let seeds: Vec<SocketAddrV4> = (1..=SEED_MACHINES).map(|n| net.control(n)).collect();
         let node = self.node(number)?;
         if node.is_removed {
@@ -95,6 +100,7 @@
                 number,
                 is_initial_start,
                 disk: disk.as_deref(),
+                tolerated_regions,
             },
         );
         Settings::parse(&text).map_err(|e| e.to_string())?;
@@ -120,12 +126,17 @@
     /// Adds a machine with an empty disk at a new address, and returns its number.
     pub fn add(&mut self) -> Result<u8, ScenarioError> {
         let number = self.nodes.iter().map(|n| n.number).max().unwrap_or(0) + 1;
+        self.add_as(number)?;
+        Ok(number)
+    }
+
+    /// Adds a machine with an empty disk at the address of this number, which must be free.
+    pub fn add_as(&mut self, number: u8) -> Result<(), ScenarioError> {
         if number >= settings::MAX_MACHINES {
             return Err("no address is left for another machine".into());
         }
         self.nodes.push(Node::new(self.guard.folder(), number, true));
-        self.restart(number)?;
-        Ok(number)
+        self.restart(number)
     }
 
     /// Returns the control address of a node.
--- a/crates/fleet-test/src/main.rs
+++ b/crates/fleet-test/src/main.rs
@@ -82,6 +82,9 @@
         /// Two operators evacuate the same zone.
         #[arg(long)]
         shared_zone: bool,
+        /// All processes are killed at the same moment from time to time.
+        #[arg(long)]
+        kills_of_all: bool,
     },
     /// Start a fleet, print where each node listens, and wait.
     Up {
@@ -159,6 +162,7 @@
         machines,
         clients,
         shared_zone,
+        kills_of_all,
     } = cli.command
     {
         let options = soak::Options {
@@ -167,6 +171,7 @@
             machines,
             clients,
             is_zone_shared: shared_zone,
+            kills_all: kills_of_all,
             keep: cli.keep,
         };
         return run_soak(program, options).await;
@@ -272,6 +277,7 @@
     let plan = Plan {
         with_disk,
         without_disk,
+        tolerated_regions: 0,
     };
     let mut fleet = match Fleet::start(program, plan) {
         Ok(fleet) => fleet,
--- a/crates/fleet-test/src/scenarios/mod.rs
+++ b/crates/fleet-test/src/scenarios/mod.rs
@@ -1,6 +1,8 @@
 //! Scenarios that run on a fleet. Each one tests a guarantee of the control side.
 
 mod cut_off;
+mod finish_after_restart;
+mod lost_voter;
 mod many_changes;
 mod resend;
 mod right_caller;
@@ -85,47 +87,81 @@
 pub struct Scenario {
     pub name: &'static str,
     pub about: &'static str,
+    /// Machines that the scenario starts with.
+    plan: Plan,
     execute: for<'a> fn(&'a mut Run) -> LocalBoxFuture<'a, Result<(), ScenarioError>>,
 }
 
+/// Machines of most scenarios.
+const STANDARD_PLAN: Plan = Plan {
+    with_disk: 5,
+    without_disk: 2,
+    tolerated_regions: 0,
+};
+/// One machine with a disk in each region, of which one may be lost.
+const CORE_OF_THREE: Plan = Plan {
+    with_disk: 3,
+    without_disk: 0,
+    tolerated_regions: 1,
+};
+
 /// All scenarios except the storm.
-pub const ALL: [Scenario; 6] = [
+pub const ALL: [Scenario; 8] = [
     Scenario {
         name: "cut-off",
         about: "a leader is frozen while commands go on, then thawed and called at once",
+        plan: STANDARD_PLAN,
         execute: |run| Box::pin(cut_off::execute(run)),
     },
     Scenario {
         name: "resend",
         about: "accepted commands are sent again to every node, two operators race",
+        plan: STANDARD_PLAN,
         execute: |run| Box::pin(resend::execute(run)),
     },
     Scenario {
         name: "second-loss",
         about: "a disk is lost right after a repair, a member leaves, another joins",
+        plan: STANDARD_PLAN,
         execute: |run| Box::pin(second_loss::execute(run)),
     },
     Scenario {
         name: "many-changes",
         about: "hundreds of changes while a member is down, then all nodes restart",
+        plan: STANDARD_PLAN,
         execute: |run| Box::pin(many_changes::execute(run)),
     },
     Scenario {
         name: "rolling-upgrade",
         about: "each node restarts with another program during changes, and then with the first one",
+        plan: STANDARD_PLAN,
         execute: |run| Box::pin(rolling_upgrade::execute(run)),
     },
     Scenario {
         name: "right-caller",
         about: "many calls through nodes that restart: each gets its own answer",
+        plan: STANDARD_PLAN,
         execute: |run| Box::pin(right_caller::execute(run)),
     },
+    Scenario {
+        name: "finish-after-restart",
+        about: "all nodes are killed and restarted, and the evacuation in force is finished at once",
+        plan: STANDARD_PLAN,
+        execute: |run| Box::pin(finish_after_restart::execute(run)),
+    },
+    Scenario {
+        name: "lost-voter",
+        about: "a voter is lost for good, two machines of its region join, the leader restarts",
+        plan: CORE_OF_THREE,
+        execute: |run| Box::pin(lost_voter::execute(run)),
+    },
 ];
 
 /// A scenario that runs only by itself, for as long as the options say.
 pub const STORM: Scenario = Scenario {
     name: "storm",
     about: "random faults while operators race, resend and read",
+    plan: STANDARD_PLAN,
     execute: |run| Box::pin(storm::execute(run)),
 };
 
@@ -137,11 +173,7 @@
 impl Scenario {
     /// Runs the scenario with a new fleet, and leaves nothing running.
     pub async fn execute(&self, program: &Path, options: Options) -> Verdict {
-        let plan = Plan {
-            with_disk: 5,
-            without_disk: 2,
-        };
-        let fleet = match Fleet::start(program, plan) {
+        let fleet = match Fleet::start(program, self.plan) {
             Ok(fleet) => fleet,
             Err(e) => return Verdict::NotRun(e),
         };
--- a/crates/fleet-test/src/scenarios/run.rs
+++ b/crates/fleet-test/src/scenarios/run.rs
@@ -188,26 +188,32 @@
         }
     }
 
-    /// Begins the evacuation of a zone that no machine is in. The command must be acknowledged.
+    /// Begins the evacuation of a zone. The command must be acknowledged.
     pub(super) async fn evacuate(&mut self, zone: &str) -> Result<(), ScenarioError> {
+        self.change_evacuation(zone, true).await
+    }
+
+    /// Finishes the evacuation of a zone. The command must be acknowledged.
+    pub(super) async fn finish_evacuation(&mut self, zone: &str) -> Result<(), ScenarioError> {
+        self.change_evacuation(zone, false).await
+    }
+
+    async fn change_evacuation(&mut self, zone: &str, begin: bool) -> Result<(), ScenarioError> {
         let operation = Operation::Evacuate {
             zone: zone.into(),
-            begin: true,
+            begin,
         };
+        let control_addresses = shuffled(&self.fleet.running_control_addresses());
         let timeout = Duration::from_secs(COMMAND_TIMEOUT_S);
-        match self
+        let answer = self
             .operator
-            .retry_until_definite(
-                operation,
-                &shuffled(&self.fleet.running_control_addresses()),
-                timeout,
-            )
-            .await
-        {
+            .retry_until_definite(operation, &control_addresses, timeout);
+        match answer.await {
             Answer::Success(_) => Ok(()),
             other => {
+                let what = if begin { "begin" } else { "finish" };
                 self.report_violation(format!(
-                    "the evacuation of {zone} was not acknowledged: {other:?}"
+                    "the {what} of the evacuation of {zone} was not acknowledged: {other:?}"
                 ));
                 Err("a valid command was not accepted".into())
             }
--- a/crates/fleet-test/src/settings.rs
+++ b/crates/fleet-test/src/settings.rs
@@ -21,6 +21,8 @@
     pub is_initial_start: bool,
     /// The folder of the machine's disk, if it has one.
     pub disk: Option<&'a Path>,
+    /// Number of regions whose loss is to be tolerated.
+    pub tolerated_regions: u8,
 }
 
 /// Returns the name of a machine.
@@ -95,11 +97,11 @@
     for number in 1..=ZONES {
         let _ = writeln!(text, "{} = \"{}\"", zone(number), region(number));
     }
-    text + &shared_settings(net)
+    text + &shared_settings(net, machine.tolerated_regions)
 }
 
 /// Renders the settings that are the same on every machine of a fleet.
-fn shared_settings(net: &Net) -> String {
+fn shared_settings(net: &Net, tolerated_regions: u8) -> String {
     format!(
         r#"[Platform]
 Discovery = "platform"
@@ -115,7 +117,7 @@
 [Terms.Tolerance]
 Machines = 1
 Zones = 1
-Regions = 0
+Regions = {tolerated_regions}
 [Terms.Bounds]
 SeedLag = "3s"
 Contact = "4000ms"
--- a/crates/fleet-test/src/soak/checker.rs
+++ b/crates/fleet-test/src/soak/checker.rs
@@ -54,6 +54,7 @@
     checker.check_answers(&mut found);
     checker.check_losses(&mut found);
     checker.check_evacuations(&mut found);
+    checker.check_finished_evacuations(&mut found);
     checker.check_draining(&mut found);
     checker.check_routes(&mut found);
     checker.check_commands(&mut found);
@@ -226,6 +227,31 @@
         }
     }
 
+    /// Rule RECOVER: a zone is in use again at the end if every evacuation of it was begun and
+    /// finished with an acknowledgement.
+    fn check_finished_evacuations(&self, found: &mut Vec<Violation>) {
+        let Some(evacuated) = &self.seen.evacuated_at_end else {
+            return;
+        };
+        for zone in evacuated {
+            let commands = self.seen.commands.iter();
+            let on_zone: Vec<&Command> = commands
+                .filter(|c| matches!(&c.kind, CommandKind::Evacuation { zone: z, .. } if z == zone))
+                .collect();
+            let are_acknowledged = on_zone.iter().all(|c| c.acknowledged_at.is_some());
+            let is_begin = |c: &&&Command| matches!(c.kind, CommandKind::Evacuation { begin: true, .. });
+            let begins = on_zone.iter().filter(is_begin).count();
+            if are_acknowledged && begins == on_zone.len() - begins {
+                found.push(Violation {
+                    rule: "RECOVER",
+                    at: on_zone.last().map_or(0, |c| c.sent_at),
+                    description: format!("zone {zone} is evacuated, although every evacuation was finished"),
+                    log_terms: vec![format!("zone={zone} ")],
+                });
+            }
+        }
+    }
+
     /// Rule DRAIN: a draining worker receives no requests.
     fn check_draining(&self, found: &mut Vec<Violation>) {
         for run in &self.seen.runs {
--- a/crates/fleet-test/src/soak/faults.rs
+++ b/crates/fleet-test/src/soak/faults.rs
@@ -23,6 +23,12 @@
 const BUSY_PHASE_MS: std::ops::Range<u64> = 4000..12_000;
 /// End time of a fault that still lasts.
 const ONGOING: u64 = u64::MAX;
+/// Time of an event that is not planned.
+const NEVER: u64 = u64::MAX;
+/// Time between two kills of all processes, in milliseconds.
+const KILL_ALL_INTERVAL_MS: std::ops::Range<u64> = 15_000..30_000;
+/// Time from a kill of all processes until they are restarted, in milliseconds.
+const KILL_ALL_PAUSE_MS: std::ops::Range<u64> = 200..1200;
 
 /// The next step for a node with a fault.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -54,6 +60,8 @@
     pending: BTreeMap<u8, PendingFault>,
     /// Time until which a voter counts as lost, in milliseconds.
     voter_lost_until: u64,
+    /// Time at which all processes are killed next, in milliseconds.
+    kill_all_at: u64,
 }
 
 impl<'a> FaultInjector<'a> {
@@ -71,9 +79,15 @@
             rng,
             pending: BTreeMap::new(),
             voter_lost_until: 0,
+            kill_all_at: NEVER,
         }
     }
 
+    /// Makes the injector kill all processes at the same moment from time to time.
+    pub fn kill_all_from_time_to_time(&mut self) {
+        self.kill_all_at = self.record.now() + self.rng.gen_range(KILL_ALL_INTERVAL_MS);
+    }
+
     /// Injects faults until the given time, and ends all of them.
     pub async fn run(mut self, until: u64) -> Result<(), ScenarioError> {
         let mut is_busy = false;
@@ -89,6 +103,9 @@
                         .rng
                         .gen_range(if is_busy { BUSY_PHASE_MS } else { CALM_PHASE_MS });
             }
+            if now >= self.kill_all_at && now < until {
+                self.kill_all(now)?;
+            }
             if now >= next_at && now < until {
                 let pause_ms = if is_busy { 50..1200 } else { 600..1800 };
                 next_at = now + self.rng.gen_range(pause_ms);
@@ -134,6 +151,25 @@
         Ok(())
     }
 
+    /// Kills all processes. They are restarted at the same moment, within a second or so.
+    fn kill_all(&mut self, now: u64) -> Result<(), ScenarioError> {
+        let restart_at = now + self.rng.gen_range(KILL_ALL_PAUSE_MS);
+        let nodes: Vec<(u8, bool)> = self.fleet.nodes.iter().map(|n| (n.number, n.has_disk)).collect();
+        for (number, is_voter) in nodes {
+            if let Some(pending) = self.pending.remove(&number) {
+                self.end_fault(now, number, pending.index);
+            }
+            self.fleet.node(number)?.kill();
+            let index = self.record_fault(now, NodeFaultKind::Killed, number, is_voter);
+            let next = NextStep::Restart;
+            let at = restart_at;
+            self.pending.insert(number, PendingFault { at, next, index });
+        }
+        self.voter_lost_until = ONGOING;
+        self.kill_all_at = now + self.rng.gen_range(KILL_ALL_INTERVAL_MS);
+        Ok(())
+    }
+
     fn end_fault(&mut self, now: u64, number: u8, index: usize) {
         self.pending.remove(&number);
         let is_voter = self.record.update(|seen| {
@@ -180,13 +216,8 @@
         self.begin_fault(now, kind, number, is_voter)
     }
 
-    fn begin_fault(
-        &mut self,
-        now: u64,
-        kind: NodeFaultKind,
-        number: u8,
-        is_voter: bool,
-    ) -> Result<(), ScenarioError> {
+    /// Records the beginning of a fault, and returns its index in the observations.
+    fn record_fault(&self, now: u64, kind: NodeFaultKind, number: u8, is_voter: bool) -> usize {
         let node_fault = NodeFault {
             kind,
             node: number,
@@ -198,10 +229,20 @@
                 ONGOING
             },
         };
-        let index = self.record.update(|seen| {
+        self.record.update(|seen| {
             seen.node_faults.push(node_fault);
             seen.node_faults.len() - 1
-        });
+        })
+    }
+
+    fn begin_fault(
+        &mut self,
+        now: u64,
+        kind: NodeFaultKind,
+        number: u8,
+        is_voter: bool,
+    ) -> Result<(), ScenarioError> {
+        let index = self.record_fault(now, kind, number, is_voter);
         let node = self.fleet.node(number)?;
         let pending = match kind {
             NodeFaultKind::SettingsReload => return node.request_settings_reload(),
--- a/crates/fleet-test/src/soak/mod.rs
+++ b/crates/fleet-test/src/soak/mod.rs
@@ -82,6 +82,8 @@
     pub clients: usize,
     /// Whether both operators evacuate the same zone instead of one zone each.
     pub is_zone_shared: bool,
+    /// Whether all processes are killed at the same moment from time to time.
+    pub kills_all: bool,
     /// Whether to keep the folder with the logs.
     pub keep: bool,
 }
@@ -100,6 +102,7 @@
     let plan = Plan {
         with_disk: WITH_DISK.min(options.machines),
         without_disk: options.machines.saturating_sub(WITH_DISK),
+        tolerated_regions: 0,
     };
     let mut fleet = Fleet::start(program, plan)?;
     if options.keep {
@@ -174,7 +177,10 @@
             .collect();
         let until = self.record.now() + self.options.seconds * 1000;
         let rng = self.rng(1);
-        let injector = FaultInjector::new(&mut self.fleet, &self.worker_pool, &self.record, rng);
+        let mut injector = FaultInjector::new(&mut self.fleet, &self.worker_pool, &self.record, rng);
+        if self.options.kills_all {
+            injector.kill_all_from_time_to_time();
+        }
         injector.run(until).await?;
         stop_operators.set(true);
         pause(RECOVERY_MS).await;
@@ -184,8 +190,14 @@
         let final_window_until = self.record.now() + FINAL_WINDOW_MS;
         let read_version = self.operator(9, &stop_operators).read_back(RECOVERY_MS).await;
         let read_at = self.record.now();
-        self.record
-            .update(|seen| seen.read_back = read_version.map(|version| (version, read_at)));
+        let evacuated = self
+            .operator(9, &stop_operators)
+            .read_evacuated(RECOVERY_MS)
+            .await;
+        self.record.update(|seen| {
+            seen.read_back = read_version.map(|version| (version, read_at));
+            seen.evacuated_at_end = evacuated;
+        });
         pause(final_window_until.saturating_sub(read_at)).await;
         stop_clients.set(true);
         for client in clients {
--- a/crates/fleet-test/src/soak/observations.rs
+++ b/crates/fleet-test/src/soak/observations.rs
@@ -153,6 +153,8 @@
     pub commands: Vec<Command>,
     /// Faults in the order in which they began.
     pub node_faults: Vec<NodeFault>,
+    /// The zones that were evacuated according to the status read at the end.
+    pub evacuated_at_end: Option<Vec<String>>,
     /// The version read at the end and the time of that read in milliseconds.
     pub read_back: Option<(u64, u64)>,
 }
--- a/crates/fleet-test/src/soak/operator.rs
+++ b/crates/fleet-test/src/soak/operator.rs
@@ -119,14 +119,36 @@
 
     /// Returns the version that a node reads back. Tries random nodes until one answers.
     pub async fn read_back(&mut self, timeout_ms: u64) -> Option<u64> {
+        let read_version = |body: &Value| body["Version"].as_u64();
+        self.read("/configuration/read", read_version, timeout_ms).await
+    }
+
+    /// Returns the zones that are evacuated according to the leader.
+    pub async fn read_evacuated(&mut self, timeout_ms: u64) -> Option<Vec<String>> {
+        let read_zones = |body: &Value| {
+            let zones = body["evacuated"].as_object()?;
+            let is_leader = body["leader"] == true;
+            is_leader.then(|| zones.keys().cloned().collect())
+        };
+        self.read("/status", read_zones, timeout_ms).await
+    }
+
+    /// Reads a resource from random nodes until one gives an answer that `parse` accepts.
+    async fn read<T>(
+        &mut self,
+        path: &str,
+        parse: impl Fn(&Value) -> Option<T>,
+        timeout_ms: u64,
+    ) -> Option<T> {
+        let request = format!("GET {path} HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\r\n");
         let until = self.record.now() + timeout_ms;
         while self.record.now() < until {
             let node = self.rng.gen_range(1..=self.nodes);
-            let request = "GET /configuration/read HTTP/1.1\r\nHost: c\r\nConnection: close\r\n\r\n";
-            if let Some(answer) = self.call(node, request.as_bytes()).await {
+            let answer = self.call(node, request.as_bytes()).await;
+            if let Some(answer) = answer.filter(|answer| answer.status() == 200) {
                 let body: Value = serde_json::from_slice(&answer.body).unwrap_or_default();
-                if let (200, Some(version)) = (answer.status(), body["Version"].as_u64()) {
-                    return Some(version);
+                if let Some(value) = parse(&body) {
+                    return Some(value);
                 }
             }
             self.pause(50, 100).await;
--- a/crates/fleet-test/tests/soak_checker.rs
+++ b/crates/fleet-test/tests/soak_checker.rs
@@ -374,3 +374,21 @@
     }
     assert_eq!(rules(&observations), ["OWNER"]);
 }
+
+#[test]
+fn zone_is_in_use_again_once_every_evacuation_was_finished() {
+    let mut observations = Observations {
+        commands: vec![
+            evacuation(1, true, 1000, Some(1100)),
+            evacuation(1, false, 9000, Some(9100)),
+        ],
+        evacuated_at_end: Some(Vec::new()),
+        ..Default::default()
+    };
+    assert!(rules(&observations).is_empty());
+    observations.evacuated_at_end = Some(vec!["z".into()]);
+    assert_eq!(rules(&observations), ["RECOVER"]);
+    // A finish without an acknowledgement may not have been executed.
+    observations.commands[1].acknowledged_at = None;
+    assert!(rules(&observations).is_empty());
+}
--- a/crates/pebblepond/tests/processes.rs
+++ b/crates/pebblepond/tests/processes.rs
@@ -20,3 +20,15 @@
 fn an_accepted_command_is_acknowledged_again_by_every_node() {
     assert_scenario_holds("resend");
 }
+
+/// Guards against an acknowledged finish that is dropped after a restart (review case 6).
+#[test]
+fn a_finish_after_a_restart_of_all_nodes_is_in_force() {
+    assert_scenario_holds("finish-after-restart");
+}
+
+/// Guards against a core that takes no more commands (review case 9).
+#[test]
+fn a_core_takes_commands_after_a_voter_is_lost_while_machines_join() {
+    assert_scenario_holds("lost-voter");
+}
--- a/crates/pebblepond/tests/soak.rs
+++ b/crates/pebblepond/tests/soak.rs
@@ -17,6 +17,7 @@
         machines: 9,
         clients: 24,
         is_zone_shared: false,
+        kills_all: false,
         keep: false,
     };
     let program = Path::new(env!("CARGO_BIN_EXE_pebblepond"));
