--- a/crates/raft/tests/cluster/mod.rs
+++ b/crates/raft/tests/cluster/mod.rs
@@ -89,8 +89,8 @@
 }
 
 impl Cluster {
-    pub fn new(regions: &[usize], next_membership: NextMembership) -> Cluster {
-        let mut cluster = Cluster {
+    fn without_machines(next_membership: NextMembership) -> Cluster {
+        Cluster {
             now: 1000,
             machines: Vec::new(),
             in_transit: Vec::new(),
@@ -100,7 +100,11 @@
             next_membership,
             changes: 0,
             cut_links: Vec::new(),
-        };
+        }
+    }
+
+    pub fn new(regions: &[usize], next_membership: NextMembership) -> Cluster {
+        let mut cluster = Cluster::without_machines(next_membership);
         for region in regions {
             cluster.add(*region);
         }
@@ -123,17 +127,7 @@
     /// Creates a cluster whose voters are already set, without the history that led to them. Each
     /// machine has a region and a part; the voters come before the learners.
     pub fn of_machines(machines: &[(usize, Part)], next_membership: NextMembership) -> Cluster {
-        let mut cluster = Cluster {
-            now: 1000,
-            machines: Vec::new(),
-            in_transit: Vec::new(),
-            next_id: 1,
-            pending: Vec::new(),
-            acknowledged: Vec::new(),
-            next_membership,
-            changes: 0,
-            cut_links: Vec::new(),
-        };
+        let mut cluster = Cluster::without_machines(next_membership);
         for (region, _) in machines {
             cluster.add(*region);
         }
