Logs: repetitions, early acknowledgements, readings of the list and late sends

The record of the incident could not tell a begin that counted as a repetition from one that was taken back, nor a node that lags from a request that was sent late, nor a slow reading of the platform's list. Four lines say it: evacuation_repetition, acknowledged_before_applied (with the number of nodes behind), workers_leaving (with time and pages of the reading), late_send. No decision changes.

--- a/crates/pebblepond/src/control/execution.rs
+++ b/crates/pebblepond/src/control/execution.rs
@@ -133,8 +133,11 @@
         let durability = driver.send(CheckDurability(index)).await;
         match durability.map_err(|_| CommandError::Ending)? {
             Durability::Applied => return Ok(response(200, "{}")),
-            Durability::Durable if waited >= c::APPLY_WAIT_MS => return Ok(response(200, "{}")),
-            Durability::Durable | Durability::NotDurable => {}
+            Durability::Durable { behind } if waited >= c::APPLY_WAIT_MS => {
+                log::info!("event=acknowledged_before_applied index={index} nodes_behind={behind}");
+                return Ok(response(200, "{}"));
+            }
+            Durability::Durable { .. } | Durability::NotDurable => {}
             // A new leader answers the command when it is sent again.
             Durability::NotLeader => return Err(CommandError::NotLeader),
         }
@@ -148,8 +151,8 @@
 enum Durability {
     /// It survives any tolerated loss, and the nodes in contact have applied it.
     Applied,
-    /// It survives any tolerated loss, but some nodes in contact have not applied it yet.
-    Durable,
+    /// It survives any tolerated loss, but `behind` nodes in contact have not applied it yet.
+    Durable { behind: usize },
     /// It does not survive every tolerated loss, or such a loss may leave no majority.
     NotDurable,
     /// This node no longer leads.
@@ -164,14 +167,15 @@
     type Result = MessageResult<CheckDurability>;
     fn handle(&mut self, CheckDurability(index): CheckDurability, _: &mut Self::Context) -> Self::Result {
         let now = self.context.now();
-        MessageResult(if !self.raft.is_established_leader() {
-            Durability::NotLeader
-        } else if !is_durable(&self.raft, index, now, self.tolerance(), c::CONTACT_TIMEOUT_MS) {
-            Durability::NotDurable
-        } else if self.is_anyone_behind(index) {
-            Durability::Durable
-        } else {
-            Durability::Applied
+        if !self.raft.is_established_leader() {
+            return MessageResult(Durability::NotLeader);
+        }
+        if !is_durable(&self.raft, index, now, self.tolerance(), c::CONTACT_TIMEOUT_MS) {
+            return MessageResult(Durability::NotDurable);
+        }
+        MessageResult(match self.nodes_behind(index) {
+            0 => Durability::Applied,
+            behind => Durability::Durable { behind },
         })
     }
 }
@@ -268,7 +272,7 @@
 impl Handler<IsAnyNodeBehind> for RaftDriver {
     type Result = bool;
     fn handle(&mut self, IsAnyNodeBehind(index): IsAnyNodeBehind, _: &mut Self::Context) -> bool {
-        self.is_anyone_behind(index)
+        self.nodes_behind(index) > 0
     }
 }
 
@@ -300,13 +304,14 @@
         confirmation
     }
 
-    /// Returns whether any node in contact has not applied the log up to an index.
-    fn is_anyone_behind(&self, index: u64) -> bool {
+    /// Returns the number of nodes in contact that have not applied the log up to an index.
+    fn nodes_behind(&self, index: u64) -> usize {
         let now = self.context.now();
         let members = self.context.members.get();
         let alive = members.iter().filter(|m| m.is_alive());
-        let mut progresses = alive.filter_map(|m| self.raft.progress(m.id));
+        let progresses = alive.filter_map(|m| self.raft.progress(m.id));
         progresses
-            .any(|p| now.saturating_sub(p.last_heard) < c::CONTACT_TIMEOUT_MS && p.applied_index < index)
+            .filter(|p| now.saturating_sub(p.last_heard) < c::CONTACT_TIMEOUT_MS && p.applied_index < index)
+            .count()
     }
 }
--- a/crates/pebblepond/src/control/proposals.rs
+++ b/crates/pebblepond/src/control/proposals.rs
@@ -70,6 +70,7 @@
         if let (Some(tag), Some(index)) = (&tag, repeated) {
             let now = self.context.now();
             self.recent_commands.record_repetition(now, index, tag);
+            log_repetition(&kind, index);
         }
         let tag = tag.map(|tag| CommandTag {
             repeats: repeated.unwrap_or(0),
@@ -118,3 +119,11 @@
         pending.filter_map(|(index, p)| Some((*index, p.tag.as_ref()?)))
     }
 }
+
+/// Logs that an evacuation command is taken for a repetition of the entry at `index`.
+fn log_repetition(kind: &ChangeKind, index: u64) {
+    if let ChangeKind::Evacuate(change) = kind {
+        let (zone, begin) = (&change.zone, change.begin);
+        log::info!("event=evacuation_repetition zone={zone} begin={begin} repeats={index}");
+    }
+}
--- a/crates/pebblepond/src/discovery/mod.rs
+++ b/crates/pebblepond/src/discovery/mod.rs
@@ -10,7 +10,7 @@
 use config::{constants as c, DurationText};
 use listing::{Listing, NextStep};
 use placement::{is_empty_change, DiscoveryInput, ProxyNode, WarmupAdmission};
-use protocol::{ChangeKind, Worker};
+use protocol::{ChangeKind, Worker, WorkersChange};
 use serde::Deserialize;
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -127,6 +127,7 @@
             };
             let change = self.warmup.compare(self.context.now(), &listed.collect(), &input);
             if !is_empty_change(&change) {
+                log_leaving(&change, self.context.now() - started_at, pages);
                 let _ = driver.send(Propose(ChangeKind::Workers(change))).await;
             }
         } else {
@@ -178,3 +179,15 @@
         }
     }
 }
+
+/// Logs the workers that a reading of the list shows as draining or removed, and the time that the
+/// reading took.
+fn log_leaving(change: &WorkersChange, listing_ms: u64, pages: u64) {
+    let draining = change.put.iter().filter(|worker| worker.draining).count();
+    let removed = change.removed.len();
+    if draining + removed > 0 {
+        log::info!(
+            "event=workers_leaving draining={draining} removed={removed} listing_ms={listing_ms} pages={pages}"
+        );
+    }
+}
--- a/crates/pebblepond/src/proxy/attempts.rs
+++ b/crates/pebblepond/src/proxy/attempts.rs
@@ -60,6 +60,7 @@
         };
         loop {
             let worker = self.choose_worker(&target, &mut progress).await?;
+            let chosen_at = Instant::now();
             let guard = AttemptGuard {
                 balancer_actor: self.balancer_actor.clone(),
                 worker: worker.id.clone(),
@@ -76,6 +77,7 @@
                 target: &target,
                 worker: &worker,
                 needs_new_connection: progress.addresses.contains(&worker.address),
+                chosen_at,
             };
             match self.attempt(&attempt, attempt_body, guard).await {
                 AttemptEnd::Answered(response) => return Ok(response),
@@ -244,6 +246,8 @@
     worker: &'a SelectedWorker,
     /// Whether the worker shares its address with a worker that was already tried.
     needs_new_connection: bool,
+    /// When the worker was chosen.
+    chosen_at: Instant,
 }
 
 impl Attempt<'_> {
@@ -268,6 +272,7 @@
             } else {
                 ResponseMatching::Id
             },
+            chosen_at: self.chosen_at,
         }
     }
 
--- a/crates/pebblepond/src/upstream/api_call.rs
+++ b/crates/pebblepond/src/upstream/api_call.rs
@@ -8,7 +8,7 @@
 use config::constants as c;
 use futures_util::StreamExt;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A call to a JSON interface.
 pub struct ApiCall<'a> {
@@ -53,6 +53,7 @@
         connect_timeout_ms: c::CONNECT_TIMEOUT_MS.min(call.timeout_ms),
         user_timeout_ms: c::WORKER_USER_TIMEOUT_MS + 2 * c::DEFAULT_RTT_MS as u64,
         matching: ResponseMatching::Connection,
+        chosen_at: Instant::now(),
     };
     let body = RequestBody::Buffered(call.body.unwrap_or_default());
     let call_result = upstream.call(call.address, head, body, options);
--- a/crates/pebblepond/src/upstream/mod.rs
+++ b/crates/pebblepond/src/upstream/mod.rs
@@ -32,7 +32,7 @@
 use std::io;
 use std::pin::Pin;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// A stream of the parts of a body.
 pub type BodyParts = Pin<Box<dyn Stream<Item = io::Result<Bytes>>>>;
@@ -94,8 +94,14 @@
     pub user_timeout_ms: u64,
     /// How the response is matched with the request.
     pub matching: ResponseMatching,
+    /// When the address was chosen.
+    pub chosen_at: Instant,
 }
 
+/// Time from the choice of an address to the send after which the send is logged as late, in
+/// milliseconds: more than any time limit for connecting.
+const LATE_SEND_MS: u64 = 1000;
+
 /// How a response is distinguished from responses to other requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum ResponseMatching {
@@ -175,6 +181,10 @@
             options.max_idle_ms = 0;
         }
         let (connection, idle_time) = self.connection(address, &options).await?;
+        let waited_ms = options.chosen_at.elapsed().as_millis() as u64;
+        if waited_ms >= LATE_SEND_MS {
+            log::warn!("event=late_send address={address} waited_ms={waited_ms}");
+        }
         let mut exchange = Exchange::new(connection, id, head.method == Method::HEAD);
         let result = exchange.run(head, body).await;
         let (Ok(head), Some(mut connection)) = (result, exchange.connection.take()) else {
