--- a/crates/fleet-test/examples/pace.rs
+++ b/crates/fleet-test/examples/pace.rs
@@ -72,6 +72,7 @@
         with_disk: 5,
         without_disk: 1,
         tolerated_regions: 0,
+        zones: None,
     };
     let mut fleet = Fleet::start(program, plan)?;
     let record = Record::default();
--- a/crates/fleet-test/src/fleet.rs
+++ b/crates/fleet-test/src/fleet.rs
@@ -26,6 +26,8 @@
     pub without_disk: u8,
     /// Number of regions whose loss is to be tolerated, in the settings.
     pub tolerated_regions: u8,
+    /// Number of zones over which the machines are spread; `None` gives each a zone of its own.
+    pub zones: Option<u8>,
 }
 
 /// A fleet of real processes on loopback addresses.
@@ -36,6 +38,7 @@
     net: Net,
     program: PathBuf,
     tolerated_regions: u8,
+    zones: Option<u8>,
     guard: Guard,
 }
 
@@ -55,6 +58,7 @@
             net,
             program: program.clone(),
             tolerated_regions: plan.tolerated_regions,
+            zones: plan.zones,
             guard,
         };
         for number in 1..=count {
@@ -87,6 +91,7 @@
     fn launch(&mut self, number: u8, is_initial_start: bool, program: &Path) -> Result<(), ScenarioError> {
         let (net, group) = (self.net, self.guard.group());
         let tolerated_regions = self.tolerated_regions;
+        let zone = self.zones.map_or(number, |zones| (number - 1) % zones + 1);
         let seeds: Vec<SocketAddrV4> = (1..=SEED_MACHINES).map(|n| net.control(n)).collect();
         let node = self.node(number)?;
         if node.is_removed {
@@ -101,6 +106,7 @@
                 is_initial_start,
                 disk: disk.as_deref(),
                 tolerated_regions,
+                zone,
             },
         );
         Settings::parse(&text).map_err(|e| e.to_string())?;
--- a/crates/fleet-test/src/main.rs
+++ b/crates/fleet-test/src/main.rs
@@ -5,6 +5,7 @@
 use fleet_test::program;
 use fleet_test::scenarios::{by_name, Options, Pace, Scenario, Verdict, ALL, STORM};
 use fleet_test::soak;
+use fleet_test::soak::shape::ShapeName;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
@@ -79,6 +80,9 @@
         /// Number of clients.
         #[arg(long, default_value_t = 24)]
         clients: usize,
+        /// How machines and workers are spread.
+        #[arg(long, value_enum, default_value_t)]
+        shape: ShapeName,
         /// Two operators evacuate the same zone.
         #[arg(long)]
         shared_zone: bool,
@@ -161,6 +165,7 @@
         seconds,
         machines,
         clients,
+        shape,
         shared_zone,
         kills_of_all,
     } = cli.command
@@ -170,6 +175,7 @@
             seconds,
             machines,
             clients,
+            shape: shape.into(),
             is_zone_shared: shared_zone,
             kills_all: kills_of_all,
             keep: cli.keep,
@@ -278,6 +284,7 @@
         with_disk,
         without_disk,
         tolerated_regions: 0,
+        zones: None,
     };
     let mut fleet = match Fleet::start(program, plan) {
         Ok(fleet) => fleet,
--- a/crates/fleet-test/src/scenarios/mod.rs
+++ b/crates/fleet-test/src/scenarios/mod.rs
@@ -97,12 +97,14 @@
     with_disk: 5,
     without_disk: 2,
     tolerated_regions: 0,
+    zones: None,
 };
 /// One machine with a disk in each region, of which one may be lost.
 const CORE_OF_THREE: Plan = Plan {
     with_disk: 3,
     without_disk: 0,
     tolerated_regions: 1,
+    zones: None,
 };
 
 /// All scenarios except the storm.
--- a/crates/fleet-test/src/settings.rs
+++ b/crates/fleet-test/src/settings.rs
@@ -5,8 +5,7 @@
 use std::net::SocketAddrV4;
 use std::path::Path;
 
-/// Regions of the fleet. Each machine is in a zone of its own, and the zones are spread over the
-/// regions.
+/// Regions of the fleet. Zones are spread over the regions.
 const REGIONS: [&str; 3] = ["north", "south", "east"];
 /// Largest number of machines in a fleet.
 pub const MAX_MACHINES: u8 = 100;
@@ -23,6 +22,8 @@
     pub disk: Option<&'a Path>,
     /// Number of regions whose loss is to be tolerated.
     pub tolerated_regions: u8,
+    /// Number of the machine's zone.
+    pub zone: u8,
 }
 
 /// Returns the name of a machine.
@@ -30,12 +31,13 @@
     format!("edge-{}-1", zone(number))
 }
 
-/// Returns the zone of a machine.
+/// Returns the name of a zone. Unless zones are shared, it is the zone of the machine with this
+/// number.
 pub fn zone(number: u8) -> String {
     format!("{}-{}", region(number), number)
 }
 
-/// Returns the region of a machine.
+/// Returns the region of a zone.
 pub fn region(number: u8) -> &'static str {
     REGIONS[usize::from(number) % REGIONS.len()]
 }
@@ -60,8 +62,8 @@
 "#,
         name = name(n),
         ip = net.ip(n),
-        zone = zone(n),
-        region = region(n),
+        zone = zone(machine.zone),
+        region = region(machine.zone),
         counted = machine.disk.is_some(),
         is_initial_start = machine.is_initial_start,
     );
--- a/crates/fleet-test/src/soak/checker.rs
+++ b/crates/fleet-test/src/soak/checker.rs
@@ -65,6 +65,19 @@
     found
 }
 
+/// Returns the number of requests that reached an evacuated zone or a draining worker late, from a
+/// node that was not in contact.
+pub fn excused_late_arrivals(seen: &Observations) -> usize {
+    let checker = Checker::new(seen);
+    let in_zones = checker.late_in_evacuated_zones();
+    let in_zones = in_zones.iter().map(|arrival| (arrival.request, arrival.run));
+    let draining = checker.late_at_draining_workers();
+    in_zones
+        .chain(draining)
+        .filter(|(request, run)| !checker.is_in_contact(request.node, run.began_at))
+        .count()
+}
+
 struct Checker<'a> {
     seen: &'a Observations,
     requests: HashMap<&'a str, &'a Request>,
@@ -202,15 +215,22 @@
         ended_at.is_some_and(|at| at >= run.began_at && at <= request.ended_at)
     }
 
-    /// Rule DRAIN: a draining worker receives no requests.
-    fn check_draining(&self, found: &mut Vec<Violation>) {
-        for run in &self.seen.runs {
+    /// Returns the requests that reached a worker after the time for which a draining worker may get
+    /// them.
+    fn late_at_draining_workers(&self) -> Vec<(&'a Request, &'a Run)> {
+        let is_late = |run: &&Run| {
             let facts = self.seen.workers.get(&run.worker);
             let draining_at = facts.and_then(|w| w.draining_at);
-            let is_late = draining_at.is_some_and(|at| run.began_at > at + bounds::DRAIN_MS + bounds::LAG_MS);
-            let Some(request) = self.requests.get(run.id.as_str()).filter(|_| is_late) else {
-                continue;
-            };
+            draining_at.is_some_and(|at| run.began_at > at + bounds::DRAIN_MS + bounds::LAG_MS)
+        };
+        let late = self.seen.runs.iter().filter(is_late);
+        late.filter_map(|run| Some((*self.requests.get(run.id.as_str())?, run)))
+            .collect()
+    }
+
+    /// Rule DRAIN: a draining worker receives no requests.
+    fn check_draining(&self, found: &mut Vec<Violation>) {
+        for (request, run) in self.late_at_draining_workers() {
             if self.is_in_contact(request.node, run.began_at) {
                 let description = format!("reached {}, which is draining", run.worker);
                 found.push(violation("DRAIN", request, &[run], &description));
--- a/crates/fleet-test/src/soak/checker/evacuations.rs
+++ b/crates/fleet-test/src/soak/checker/evacuations.rs
@@ -2,11 +2,21 @@
 //! evacuation of it was finished.
 
 use super::{bounds, violation, Checker, Violation};
-use crate::soak::observations::{Command, CommandKind, Run};
+use crate::soak::observations::{Command, CommandKind, Request, Run};
 
-impl Checker<'_> {
-    /// Rule EVAC: an evacuated zone receives no requests.
-    pub(super) fn check_evacuations(&self, found: &mut Vec<Violation>) {
+/// A request that reached an evacuated zone after the time for which the zone may get requests.
+pub(super) struct LateArrival<'a> {
+    pub(super) request: &'a Request,
+    pub(super) run: &'a Run,
+    zone: String,
+    /// Time since the evacuation was acknowledged, in milliseconds.
+    after_ms: u64,
+}
+
+impl<'a> Checker<'a> {
+    /// Returns the requests that reached an evacuated zone late.
+    pub(super) fn late_in_evacuated_zones(&self) -> Vec<LateArrival<'a>> {
+        let mut late = Vec::new();
         for evacuation in evacuations(&self.seen.commands) {
             let from = evacuation.acknowledged_at + bounds::EVACUATION_MS;
             let within = |run: &&Run| run.began_at > from && run.began_at < evacuation.until;
@@ -18,16 +28,34 @@
                 let Some(request) = self.requests.get(run.id.as_str()) else {
                     continue;
                 };
-                if self.is_in_contact(request.node, run.began_at) {
-                    let after_ms = run.began_at - evacuation.acknowledged_at;
-                    let description = format!(
-                        "reached {} of zone {} {after_ms} ms after its evacuation was acknowledged",
-                        run.worker, evacuation.zone
-                    );
-                    let mut violation = violation("EVAC", request, &[run], &description);
-                    violation.log_terms = vec![format!("zone={} ", evacuation.zone)];
-                    found.push(violation);
-                }
+                late.push(LateArrival {
+                    request,
+                    run,
+                    zone: evacuation.zone.clone(),
+                    after_ms: run.began_at - evacuation.acknowledged_at,
+                });
+            }
+        }
+        late
+    }
+
+    /// Rule EVAC: an evacuated zone receives no requests.
+    pub(super) fn check_evacuations(&self, found: &mut Vec<Violation>) {
+        for arrival in self.late_in_evacuated_zones() {
+            let LateArrival {
+                request,
+                run,
+                zone,
+                after_ms,
+            } = arrival;
+            if self.is_in_contact(request.node, run.began_at) {
+                let description = format!(
+                    "reached {} of zone {zone} {after_ms} ms after its evacuation was acknowledged",
+                    run.worker
+                );
+                let mut violation = violation("EVAC", request, &[run], &description);
+                violation.log_terms = vec![format!("zone={zone} ")];
+                found.push(violation);
             }
         }
     }
--- a/crates/fleet-test/src/soak/faults.rs
+++ b/crates/fleet-test/src/soak/faults.rs
@@ -3,6 +3,7 @@
 //! tolerate.
 
 use super::observations::{NodeFault, NodeFaultKind, Record};
+use super::shape::Shape;
 use super::worker_pool::WorkerPool;
 use crate::fleet::Fleet;
 use crate::ScenarioError;
@@ -56,6 +57,7 @@
     fleet: &'a mut Fleet,
     worker_pool: &'a WorkerPool,
     record: Record,
+    shape: Shape,
     rng: StdRng,
     pending: BTreeMap<u8, PendingFault>,
     /// Time until which a voter counts as lost, in milliseconds.
@@ -70,12 +72,14 @@
         fleet: &'a mut Fleet,
         worker_pool: &'a WorkerPool,
         record: &Record,
+        shape: Shape,
         rng: StdRng,
     ) -> FaultInjector<'a> {
         FaultInjector {
             fleet,
             worker_pool,
             record: record.clone(),
+            shape,
             rng,
             pending: BTreeMap::new(),
             voter_lost_until: 0,
@@ -112,7 +116,9 @@
                 if is_busy && self.rng.gen_bool(0.6) {
                     self.inject_node_fault(now)?;
                 } else {
-                    self.worker_pool.replace_random_worker(&mut self.rng).await?;
+                    for _ in 0..self.shape.replaced_at_once {
+                        self.worker_pool.replace_random_worker(&mut self.rng).await?;
+                    }
                 }
             }
             actix_rt::time::sleep(Duration::from_millis(STEP_INTERVAL_MS)).await;
@@ -187,7 +193,8 @@
         let eligible: Vec<(u8, bool)> = nodes
             .filter(|(_, is_voter)| !is_voter || may_lose_voter)
             .collect();
-        let Some(&(number, is_voter)) = eligible.choose(&mut self.rng) else {
+        let chosen = self.leader_among(&eligible);
+        let Some((number, is_voter)) = chosen.or_else(|| eligible.choose(&mut self.rng).copied()) else {
             return Ok(());
         };
         if let Some(pending) = self.pending.get(&number) {
@@ -216,6 +223,17 @@
         self.begin_fault(now, kind, number, is_voter)
     }
 
+    /// Returns the leader as the next node to get a fault, as often as the shape says, if it is
+    /// eligible.
+    fn leader_among(&mut self, eligible: &[(u8, bool)]) -> Option<(u8, bool)> {
+        let fraction = self.shape.leader_fault_fraction;
+        if fraction <= 0.0 || !self.rng.gen_bool(fraction) {
+            return None;
+        }
+        let leader = self.fleet.leader()?;
+        eligible.iter().copied().find(|(number, _)| *number == leader)
+    }
+
     /// Records the beginning of a fault, and returns its index in the observations.
     fn record_fault(&self, now: u64, kind: NodeFaultKind, number: u8, is_voter: bool) -> usize {
         let node_fault = NodeFault {
--- a/crates/fleet-test/src/soak/mod.rs
+++ b/crates/fleet-test/src/soak/mod.rs
@@ -10,6 +10,7 @@
 mod http;
 pub mod observations;
 mod operator;
+pub mod shape;
 mod worker;
 mod worker_pool;
 
@@ -22,18 +23,13 @@
 use operator::Operator;
 use rand::rngs::StdRng;
 use rand::SeedableRng;
+use shape::Shape;
 use std::cell::Cell;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::Duration;
 use worker_pool::WorkerPool;
 
-/// Entries on a page of the platform's list, so that the list has several pages.
-const PAGE_ENTRIES: usize = 10;
-/// Delay of the platform for each page, in milliseconds.
-const PAGE_DELAY_MS: u64 = 15;
-/// Number of machines with a disk.
-const WITH_DISK: u8 = 5;
 /// Time for the first configuration to be in force everywhere, in milliseconds.
 const STARTUP_MS: u64 = 7000;
 /// Time without faults at the end, in milliseconds; covers `CatchUp` and `Contact` of the settings.
@@ -80,6 +76,8 @@
     pub machines: u8,
     /// Number of clients.
     pub clients: usize,
+    /// How machines and workers are spread, and which nodes the faults prefer.
+    pub shape: Shape,
     /// Whether both operators evacuate the same zone instead of one zone each.
     pub is_zone_shared: bool,
     /// Whether all processes are killed at the same moment from time to time.
@@ -99,10 +97,12 @@
 /// Runs a soak with a program, and checks what was observed.
 pub async fn run(program: &Path, options: Options) -> Result<Report, ScenarioError> {
     let record = Record::default();
+    let shape = options.shape;
     let plan = Plan {
-        with_disk: WITH_DISK.min(options.machines),
-        without_disk: options.machines.saturating_sub(WITH_DISK),
+        with_disk: shape.with_disk.min(options.machines),
+        without_disk: options.machines.saturating_sub(shape.with_disk),
         tolerated_regions: 0,
+        zones: shape.machine_zones,
     };
     let mut fleet = Fleet::start(program, plan)?;
     if options.keep {
@@ -110,9 +110,9 @@
     }
     fleet
         .platform
-        .set_pages(PAGE_ENTRIES, Duration::from_millis(PAGE_DELAY_MS));
+        .set_pages(shape.page_entries, Duration::from_millis(shape.page_delay_ms));
     let worker_pool = WorkerPool::new(&record, *fleet.net(), fleet.platform.instances.clone());
-    worker_pool.start_all().await?;
+    worker_pool.start_all(&shape).await?;
     let soak = Soak {
         options,
         record: record.clone(),
@@ -177,7 +177,8 @@
             .collect();
         let until = self.record.now() + self.options.seconds * 1000;
         let rng = self.rng(1);
-        let mut injector = FaultInjector::new(&mut self.fleet, &self.worker_pool, &self.record, rng);
+        let shape = self.options.shape;
+        let mut injector = FaultInjector::new(&mut self.fleet, &self.worker_pool, &self.record, shape, rng);
         if self.options.kills_all {
             injector.kill_all_from_time_to_time();
         }
@@ -299,7 +300,7 @@
         .count();
     format!(
         "{} requests ({} served, {} refused, {} closed, {} timed out), {} runs, {} of {} commands acknowledged, \
-         {} node faults, {} workers, {} key leases",
+         {} node faults, {} workers, {} key leases, {} late arrivals excused",
         seen.requests.len(),
         count(&|e| matches!(e, Ending::Answered { status: 200, .. })),
         count(&|e| matches!(e, Ending::Answered { status: 503, .. })),
@@ -310,7 +311,8 @@
         seen.commands.len(),
         seen.node_faults.len(),
         seen.workers.len(),
-        seen.key_leases.len()
+        seen.key_leases.len(),
+        checker::excused_late_arrivals(seen)
     )
 }
 
--- a/crates/fleet-test/src/soak/worker_pool.rs
+++ b/crates/fleet-test/src/soak/worker_pool.rs
@@ -2,6 +2,7 @@
 //! and some crash.
 
 use super::observations::{Record, WorkerFacts};
+use super::shape::Shape;
 use super::worker::Worker;
 use super::Routes;
 use crate::net::Net;
@@ -17,10 +18,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-/// Number of zones with workers.
-pub const ZONES: u8 = 4;
-/// Number of workers of each service in a zone.
-const WORKERS_PER_ZONE: u8 = 3;
 /// First machine number of the workers' addresses, above those of nodes.
 const FIRST_ADDRESS: u8 = 130;
 /// Number of addresses that workers use in turn.
@@ -53,9 +50,9 @@
     }
 
     /// Starts the workers of all zones.
-    pub async fn start_all(&self) -> Result<(), ScenarioError> {
-        for zone in 1..=ZONES {
-            for _ in 0..WORKERS_PER_ZONE {
+    pub async fn start_all(&self, shape: &Shape) -> Result<(), ScenarioError> {
+        for zone in 1..=shape.worker_zones {
+            for _ in 0..shape.workers_per_zone {
                 for service in [Routes::PLAIN_SERVICE, Routes::KEYED_SERVICE] {
                     self.start(service, &settings::zone(zone)).await?;
                 }
@@ -65,14 +62,9 @@
     }
 
     async fn start(&self, service: &str, zone: &str) -> Result<(), ScenarioError> {
-        let number = self.started_count.get();
-        self.started_count.set(number + 1);
-        // Identifiers are scattered so that a new worker may appear anywhere in the list.
-        let id = format!("i-{:08x}", number.wrapping_mul(2_654_435_761));
-        let address = FIRST_ADDRESS + (number % u32::from(ADDRESSES)) as u8;
-        let address = SocketAddrV4::new(self.net.ip(address), self.net.front(0).port());
         let is_partitioned = service == Routes::KEYED_SERVICE;
-        let worker = Worker::start(&self.record, &id, address, is_partitioned).await?;
+        let (worker, address) = self.start_at_free_address(is_partitioned).await?;
+        let id = worker.id.clone();
         self.record.update(|seen| {
             let facts = WorkerFacts {
                 zone: zone.into(),
@@ -93,6 +85,27 @@
         Ok(())
     }
 
+    /// Starts a worker at the next address that no other worker uses.
+    async fn start_at_free_address(
+        &self,
+        is_partitioned: bool,
+    ) -> Result<(Rc<Worker>, SocketAddrV4), ScenarioError> {
+        let mut result = Err("there is no address for a worker".into());
+        for _ in 0..ADDRESSES {
+            let number = self.started_count.get();
+            self.started_count.set(number + 1);
+            // Identifiers are scattered so that a new worker may appear anywhere in the list.
+            let id = format!("i-{:08x}", number.wrapping_mul(2_654_435_761));
+            let address = FIRST_ADDRESS + (number % u32::from(ADDRESSES)) as u8;
+            let address = SocketAddrV4::new(self.net.ip(address), self.net.front(0).port());
+            match Worker::start(&self.record, &id, address, is_partitioned).await {
+                Ok(worker) => return Ok((worker, address)),
+                Err(error) => result = Err(error),
+            }
+        }
+        result
+    }
+
     /// Replaces a worker: the new one starts first, and the old one drains or crashes.
     pub async fn replace_random_worker(&self, rng: &mut StdRng) -> Result<(), ScenarioError> {
         let candidates: Vec<Rc<Worker>> = self.workers.borrow().clone();
--- a/crates/fleet-test/tests/parts.rs
+++ b/crates/fleet-test/tests/parts.rs
@@ -18,6 +18,7 @@
             is_initial_start: number == 1,
             disk: (number < 6).then_some(disk),
             tolerated_regions: 1,
+            zone: number,
         };
         let parsed = Settings::parse(&settings::render(&net, &seeds, &machine)).expect("valid");
         assert_eq!(parsed.own_entity.node_name, settings::name(number));
--- a/crates/pebblepond/tests/soak.rs
+++ b/crates/pebblepond/tests/soak.rs
@@ -1,6 +1,7 @@
 //! Runs a short soak test on real processes of this build; longer ones are started manually with
 //! `fleet-test soak`.
 
+use fleet_test::soak::shape::ShapeName;
 use fleet_test::soak::{run, Options};
 use std::path::Path;
 
@@ -16,6 +17,7 @@
         seconds: FAULT_SECONDS,
         machines: 9,
         clients: 24,
+        shape: ShapeName::Small.into(),
         is_zone_shared: false,
         kills_all: false,
         keep: false,
