--- a/crates/fleet-test/src/soak/worker_pool.rs
+++ b/crates/fleet-test/src/soak/worker_pool.rs
@@ -22,6 +22,8 @@
 const FIRST_ADDRESS: u8 = 130;
 /// Number of addresses that workers use in turn.
 const ADDRESSES: u8 = 110;
+/// Ports that workers use in turn on each of these addresses.
+const PORTS: u16 = 2;
 /// How long a draining worker keeps serving, in milliseconds: slightly longer than `Drain`.
 const DRAIN_MS: u64 = 3200;
 /// How long a crashed worker stays on the list, in milliseconds.
@@ -91,13 +93,15 @@
         is_partitioned: bool,
     ) -> Result<(Rc<Worker>, SocketAddrV4), ScenarioError> {
         let mut result = Err("there is no address for a worker".into());
-        for _ in 0..ADDRESSES {
+        for _ in 0..u16::from(ADDRESSES) * PORTS {
             let number = self.started_count.get();
             self.started_count.set(number + 1);
             // Identifiers are scattered so that a new worker may appear anywhere in the list.
             let id = format!("i-{:08x}", number.wrapping_mul(2_654_435_761));
-            let address = FIRST_ADDRESS + (number % u32::from(ADDRESSES)) as u8;
-            let address = SocketAddrV4::new(self.net.ip(address), self.net.front(0).port());
+            let machine = FIRST_ADDRESS + (number % u32::from(ADDRESSES)) as u8;
+            let port_offset = (number / u32::from(ADDRESSES)) as u16 % PORTS;
+            let port = self.net.front(0).port() + port_offset;
+            let address = SocketAddrV4::new(self.net.ip(machine), port);
             match Worker::start(&self.record, &id, address, is_partitioned).await {
                 Ok(worker) => return Ok((worker, address)),
                 Err(error) => result = Err(error),
