Soak: workers drain at the moment after their page of the list was read; counts by rule

In half of the waves of shape wide the workers of the first page now drain right after it was read. The report counts violations by rule.

--- a/crates/fleet-test/src/main.rs
+++ b/crates/fleet-test/src/main.rs
@@ -6,6 +6,7 @@
 use fleet_test::scenarios::{by_name, Options, Pace, Scenario, Verdict, ALL, STORM};
 use fleet_test::soak;
 use fleet_test::soak::shape::ShapeName;
+use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::time::Instant;
@@ -268,9 +269,13 @@
             println!("    {line}");
         }
     }
+    let mut by_rule: BTreeMap<&str, usize> = BTreeMap::new();
+    for (violation, _) in &report.violations {
+        *by_rule.entry(violation.rule).or_default() += 1;
+    }
     let verdict = match violation_count {
         0 => "held".to_string(),
-        _ => format!("BROKEN, {violation_count} times"),
+        _ => format!("BROKEN, {violation_count} times {by_rule:?}"),
     };
     println!("seed {}: {verdict}; {}", options.seed, report.summary);
     ExitCode::from(if violation_count > 0 { exit::BROKEN } else { 0 })
--- a/crates/fleet-test/src/platform.rs
+++ b/crates/fleet-test/src/platform.rs
@@ -19,15 +19,26 @@
     page_delay: Duration,
 }
 
+/// The first page of the list, as it was last read.
+#[derive(Clone, Debug, Default)]
+pub struct FirstPage {
+    /// Number of times that the page was read.
+    pub readings: u64,
+    /// Identifiers of the workers on it.
+    pub workers: Vec<String>,
+}
+
 /// State shared by the platform's request handlers.
 struct Shared {
     instances: Instances,
     pages: Mutex<Pages>,
+    first_page: Arc<Mutex<FirstPage>>,
 }
 
 /// The simulated platform.
 pub struct Platform {
     pub instances: Instances,
+    pub first_page: Arc<Mutex<FirstPage>>,
     shared: web::Data<Shared>,
     server: ServerHandle,
 }
@@ -40,9 +51,11 @@
             entries_per_page: usize::MAX,
             page_delay: Duration::ZERO,
         };
+        let first_page = Arc::default();
         let shared = web::Data::new(Shared {
             instances: instances.clone(),
             pages: Mutex::new(one_page),
+            first_page: Arc::clone(&first_page),
         });
         let served = shared.clone();
         let server = HttpServer::new(move || {
@@ -59,6 +72,7 @@
         actix_rt::spawn(server);
         Ok(Platform {
             instances,
+            first_page,
             shared,
             server: handle,
         })
@@ -98,5 +112,9 @@
     let mut listed = all.iter().filter(|(_, entry)| is_in_zone(entry)).skip(first);
     let page: BTreeMap<_, _> = listed.by_ref().take(pages.entries_per_page).collect();
     let next = listed.next().map(|_| format!("p-{}", first + page.len()));
+    if let (0, Ok(mut first_page)) = (first, shared.first_page.lock()) {
+        first_page.readings += 1;
+        first_page.workers = page.keys().map(|id| (*id).clone()).collect();
+    }
     HttpResponse::Ok().json(serde_json::json!({ "Instances": page, "NextToken": next }))
 }
--- a/crates/fleet-test/src/soak/faults.rs
+++ b/crates/fleet-test/src/soak/faults.rs
@@ -22,6 +22,8 @@
 /// Durations of the calm and busy phases, which alternate, in milliseconds.
 const CALM_PHASE_MS: std::ops::Range<u64> = 5000..9000;
 const BUSY_PHASE_MS: std::ops::Range<u64> = 4000..12_000;
+/// Longest wait for a reading of the list, in milliseconds.
+const READING_TIMEOUT_MS: u64 = 3000;
 /// End time of a fault that still lasts.
 const ONGOING: u64 = u64::MAX;
 /// Time of an event that is not planned.
@@ -116,9 +118,7 @@
                 if is_busy && self.rng.gen_bool(0.6) {
                     self.inject_node_fault(now)?;
                 } else {
-                    for _ in 0..self.shape.replaced_at_once {
-                        self.worker_pool.replace_random_worker(&mut self.rng).await?;
-                    }
+                    self.replace_workers().await?;
                 }
             }
             actix_rt::time::sleep(Duration::from_millis(STEP_INTERVAL_MS)).await;
@@ -126,6 +126,23 @@
         Ok(())
     }
 
+    /// Replaces as many workers as the shape says; in half of the waves, at the moment after the
+    /// list was read.
+    async fn replace_workers(&mut self) -> Result<(), ScenarioError> {
+        let count = self.shape.replaced_at_once;
+        if count > 1 && self.rng.gen_bool(0.5) {
+            let timeout_ms = READING_TIMEOUT_MS;
+            return self
+                .worker_pool
+                .replace_after_reading(count, timeout_ms, &mut self.rng)
+                .await;
+        }
+        for _ in 0..count {
+            self.worker_pool.replace_random_worker(&mut self.rng).await?;
+        }
+        Ok(())
+    }
+
     fn advance_faults(&mut self, now: u64) -> Result<(), ScenarioError> {
         let numbers: Vec<u8> = self.pending.keys().copied().collect();
         for number in numbers {
--- a/crates/fleet-test/src/soak/mod.rs
+++ b/crates/fleet-test/src/soak/mod.rs
@@ -111,7 +111,7 @@
     fleet
         .platform
         .set_pages(shape.page_entries, Duration::from_millis(shape.page_delay_ms));
-    let worker_pool = WorkerPool::new(&record, *fleet.net(), fleet.platform.instances.clone());
+    let worker_pool = WorkerPool::new(&record, *fleet.net(), &fleet.platform);
     worker_pool.start_all(&shape).await?;
     let soak = Soak {
         options,
--- a/crates/fleet-test/src/soak/worker_pool.rs
+++ b/crates/fleet-test/src/soak/worker_pool.rs
@@ -6,7 +6,7 @@
 use super::worker::Worker;
 use super::Routes;
 use crate::net::Net;
-use crate::platform::Instances;
+use crate::platform::{FirstPage, Instances, Platform};
 use crate::settings;
 use crate::ScenarioError;
 use rand::rngs::StdRng;
@@ -16,6 +16,7 @@
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddrV4;
 use std::rc::Rc;
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 /// First machine number of the workers' addresses, above those of nodes.
@@ -26,6 +27,8 @@
 const PORTS: u16 = 2;
 /// How long a draining worker keeps serving, in milliseconds: slightly longer than `Drain`.
 const DRAIN_MS: u64 = 3200;
+/// Interval between two looks whether the list was read, in milliseconds.
+const READING_POLL_MS: u64 = 5;
 /// How long a crashed worker stays on the list, in milliseconds.
 const CRASHED_LISTED_MS: u64 = 2500;
 
@@ -35,17 +38,19 @@
     record: Record,
     net: Net,
     instances: Instances,
+    first_page: Arc<Mutex<FirstPage>>,
     workers: Rc<RefCell<Vec<Rc<Worker>>>>,
     started_count: Rc<Cell<u32>>,
 }
 
 impl WorkerPool {
-    /// Creates a pool without workers. Its workers will be listed in `instances`.
-    pub fn new(record: &Record, net: Net, instances: Instances) -> WorkerPool {
+    /// Creates a pool without workers. The platform will list its workers.
+    pub fn new(record: &Record, net: Net, platform: &Platform) -> WorkerPool {
         WorkerPool {
             record: record.clone(),
             net,
-            instances,
+            instances: platform.instances.clone(),
+            first_page: platform.first_page.clone(),
             workers: Rc::default(),
             started_count: Rc::default(),
         }
@@ -113,9 +118,35 @@
     /// Replaces a worker: the new one starts first, and the old one drains or crashes.
     pub async fn replace_random_worker(&self, rng: &mut StdRng) -> Result<(), ScenarioError> {
         let candidates: Vec<Rc<Worker>> = self.workers.borrow().clone();
-        let Some(old_worker) = candidates.choose(rng).cloned() else {
-            return Ok(());
-        };
+        match candidates.choose(rng).cloned() {
+            Some(old_worker) => self.replace(old_worker, rng).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Replaces workers on the first page of the list right after it was read, so that a whole
+    /// reading goes by before the page is read again. Waits up to `timeout_ms` for the reading.
+    pub async fn replace_after_reading(
+        &self,
+        count: usize,
+        timeout_ms: u64,
+        rng: &mut StdRng,
+    ) -> Result<(), ScenarioError> {
+        let read_first_page = || self.first_page.lock().map(|p| p.clone()).unwrap_or_default();
+        let (before, until) = (read_first_page().readings, self.record.now() + timeout_ms);
+        while read_first_page().readings == before && self.record.now() < until {
+            actix_rt::time::sleep(Duration::from_millis(READING_POLL_MS)).await;
+        }
+        let on_page = read_first_page().workers;
+        let workers: Vec<Rc<Worker>> = self.workers.borrow().clone();
+        let on_page = workers.into_iter().filter(|w| on_page.contains(&w.id));
+        for old_worker in on_page.take(count) {
+            self.replace(old_worker, rng).await?;
+        }
+        Ok(())
+    }
+
+    async fn replace(&self, old_worker: Rc<Worker>, rng: &mut StdRng) -> Result<(), ScenarioError> {
         let entry = self
             .instances
             .lock()
