Commands: resending a begin does not extend the time in which another one counts as its repetition

Status showed one evacuation. Cause: since the time in which a like command is a repetition ran from the last attempt that the leader had seen, for as long as it was sent again. Class: doubt was resolved toward the answer that promises more. A begin whose answers stay lost for over 3 s may now count twice: the zone stays empty, status shows two, and a further finish ends it. A finish was cautious already. Soak: its rule RECOVER asked that a begin whose answers were lost for any time count once. Now a zone may be evacuated at the end only if a begin was sent again 3 s or more after its first attempt, and must be in use after as many further finishes.

--- a/crates/fleet-test/src/soak/checker.rs
+++ b/crates/fleet-test/src/soak/checker.rs
@@ -4,6 +4,8 @@
 
 mod evacuations;
 
+pub use evacuations::doubtful_begins;
+
 use super::observations::{
     Command, CommandKind, Ending, KeyLease, NodeFault, NodeFaultKind, Observations, Request, Run,
 };
@@ -17,6 +19,8 @@
     pub const DRAIN_MS: u64 = 2500;
     /// How long an evacuated zone may still get requests (`Evacuation`).
     pub const EVACUATION_MS: u64 = 5000;
+    /// A begin that is sent again later than this after the first attempt may count twice.
+    pub const REPETITION_MS: u64 = 3000;
     /// How long a node may still apply the previous configuration (`ConfigApply`).
     pub const CONFIG_APPLY_MS: u64 = 2000;
     /// Time from SIGTERM until a process is killed (`GracePeriod`).
--- a/crates/fleet-test/src/soak/checker/evacuations.rs
+++ b/crates/fleet-test/src/soak/checker/evacuations.rs
@@ -2,7 +2,8 @@
 //! evacuation of it was finished.
 
 use super::{bounds, violation, Checker, Violation};
-use crate::soak::observations::{Command, CommandKind, Request, Run};
+use crate::soak::observations::{Command, CommandKind, Observations, Request, Run};
+use crate::soak::FINAL_OPERATOR;
 
 /// A request that reached an evacuated zone after the time for which the zone may get requests.
 pub(super) struct LateArrival<'a> {
@@ -61,7 +62,8 @@
     }
 
     /// Rule RECOVER: a zone is in use again at the end if every evacuation of it was begun and
-    /// finished with an acknowledgement.
+    /// finished with an acknowledgement. Where a begin may have counted twice, the zone is in use
+    /// after as many further finishes.
     pub(super) fn check_finished_evacuations(&self, found: &mut Vec<Violation>) {
         let Some(evacuated) = &self.seen.evacuated_at_end else {
             return;
@@ -70,7 +72,13 @@
             let commands = self.seen.commands.iter();
             let on_zone: Vec<&Command> = commands
                 .filter(|c| matches!(&c.kind, CommandKind::Evacuation { zone: z, .. } if z == zone))
+                .filter(|c| c.operator != FINAL_OPERATOR)
                 .collect();
+            let is_doubt_ended = doubtful_begins(self.seen, zone) > 0
+                && !self.seen.evacuated_after_further_finish.contains(zone);
+            if is_doubt_ended {
+                continue;
+            }
             let are_acknowledged = on_zone.iter().all(|c| c.acknowledged_at.is_some());
             let is_begin = |c: &&&Command| matches!(c.kind, CommandKind::Evacuation { begin: true, .. });
             let begins = on_zone.iter().filter(is_begin).count();
@@ -86,6 +94,15 @@
     }
 }
 
+/// Returns the number of begins of a zone's evacuation that may have counted twice, because their
+/// operator got no answer for so long that they no longer count as sent again.
+pub fn doubtful_begins(seen: &Observations, zone: &str) -> usize {
+    let is_begin =
+        |c: &&Command| matches!(&c.kind, CommandKind::Evacuation { zone: z, begin: true } if z == zone);
+    let is_doubtful = |c: &&Command| c.last_sent_at >= c.sent_at + bounds::REPETITION_MS;
+    seen.commands.iter().filter(is_begin).filter(is_doubtful).count()
+}
+
 /// An evacuation that was acknowledged.
 struct Evacuation {
     zone: String,
--- a/crates/fleet-test/src/soak/mod.rs
+++ b/crates/fleet-test/src/soak/mod.rs
@@ -40,6 +40,8 @@
 const FINAL_WINDOW_MS: u64 = 3000;
 /// Zones that are evacuated, each by an operator of its own.
 const EVACUATED_ZONES: [u8; 2] = [1, 2];
+/// Number of the operator that reads what is in force at the end.
+const FINAL_OPERATOR: usize = 9;
 
 /// Routes and services of a soak.
 pub struct Routes;
@@ -189,12 +191,10 @@
             let _ = operator.await;
         }
         let final_window_until = self.record.now() + FINAL_WINDOW_MS;
-        let read_version = self.operator(9, &stop_operators).read_back(RECOVERY_MS).await;
+        let mut operator = self.operator(FINAL_OPERATOR, &stop_operators);
+        let read_version = operator.read_back(RECOVERY_MS).await;
         let read_at = self.record.now();
-        let evacuated = self
-            .operator(9, &stop_operators)
-            .read_evacuated(RECOVERY_MS)
-            .await;
+        let evacuated = operator.read_evacuated(RECOVERY_MS).await;
         self.record.update(|seen| {
             seen.read_back = read_version.map(|version| (version, read_at));
             seen.evacuated_at_end = evacuated;
@@ -204,11 +204,25 @@
         for client in clients {
             let _ = client.await;
         }
+        self.end_doubtful_evacuations(&mut operator).await;
         let report = self.report();
         self.fleet.stop().await;
         Ok(report)
     }
 
+    /// Finishes once more what the status shows as evacuated because a begin may have counted twice.
+    async fn end_doubtful_evacuations(&self, operator: &mut Operator) {
+        let seen = self.record.observations();
+        for zone in seen.evacuated_at_end.iter().flatten() {
+            let finishes = checker::doubtful_begins(&seen, zone);
+            if !operator.finish_further(zone, finishes, RECOVERY_MS).await {
+                let zone = zone.clone();
+                self.record
+                    .update(|seen| seen.evacuated_after_further_finish.push(zone));
+            }
+        }
+    }
+
     fn report(&mut self) -> Report {
         let seen = self.record.observations();
         let mut found = violations(&seen);
@@ -300,7 +314,7 @@
         .count();
     format!(
         "{} requests ({} served, {} refused, {} closed, {} timed out), {} runs, {} of {} commands acknowledged, \
-         {} node faults, {} workers, {} key leases, {} late arrivals excused",
+         {} node faults, {} workers, {} key leases, {} late arrivals excused, {} zones evacuated at the end",
         seen.requests.len(),
         count(&|e| matches!(e, Ending::Answered { status: 200, .. })),
         count(&|e| matches!(e, Ending::Answered { status: 503, .. })),
@@ -312,7 +326,8 @@
         seen.node_faults.len(),
         seen.workers.len(),
         seen.key_leases.len(),
-        checker::excused_late_arrivals(seen)
+        checker::excused_late_arrivals(seen),
+        seen.evacuated_at_end.iter().flatten().count()
     )
 }
 
--- a/crates/fleet-test/src/soak/observations.rs
+++ b/crates/fleet-test/src/soak/observations.rs
@@ -103,6 +103,8 @@
     pub kind: CommandKind,
     /// Time at which the first attempt was sent, in milliseconds.
     pub sent_at: u64,
+    /// Time at which the last attempt was sent, in milliseconds.
+    pub last_sent_at: u64,
     /// Time at which an attempt was acknowledged, in milliseconds. Lost answers do not count.
     pub acknowledged_at: Option<u64>,
     /// Whether the command was refused permanently.
@@ -155,6 +157,8 @@
     pub node_faults: Vec<NodeFault>,
     /// The zones that were evacuated according to the status read at the end.
     pub evacuated_at_end: Option<Vec<String>>,
+    /// The zones that stay evacuated although they were finished once more at the end.
+    pub evacuated_after_further_finish: Vec<String>,
     /// The version read at the end and the time of that read in milliseconds.
     pub read_back: Option<(u64, u64)>,
 }
--- a/crates/fleet-test/src/soak/operator.rs
+++ b/crates/fleet-test/src/soak/operator.rs
@@ -63,16 +63,7 @@
     pub async fn evacuate(mut self, zone: String) {
         while !self.stop.get() {
             for begin in [true, false] {
-                let kind = CommandKind::Evacuation {
-                    zone: zone.clone(),
-                    begin,
-                };
-                let what = if begin { "begin" } else { "finish" };
-                let call = Call {
-                    path: format!("/evacuation/{zone}/{what}"),
-                    headers: String::new(),
-                    body: Vec::new(),
-                };
+                let (kind, call) = evacuation(&zone, begin);
                 let outcome = self.retry_until_definite(kind, &call, COMMAND_RETRY_MS).await;
                 if begin && outcome != CommandOutcome::Acknowledged {
                     // The evacuation may be in force even so, so it is finished before another one
@@ -85,6 +76,21 @@
         }
     }
 
+    /// Finishes evacuations of a zone until it is in use, as an operator does who sees in the status
+    /// that a begin was counted twice. Returns whether the zone is in use after at most `finishes`.
+    pub async fn finish_further(&mut self, zone: &str, finishes: usize, timeout_ms: u64) -> bool {
+        for _ in 0..finishes {
+            let (kind, call) = evacuation(zone, false);
+            // For `Acknowledge` after another finish, this one may be its repetition.
+            self.retry_until_definite(kind, &call, 2 * COMMAND_RETRY_MS).await;
+            let evacuated = self.read_evacuated(timeout_ms).await;
+            if evacuated.is_some_and(|zones| !zones.iter().any(|z| z == zone)) {
+                return true;
+            }
+        }
+        false
+    }
+
     /// Sends configurations that add and drop a route, and that drop the partitioned service and
     /// restore it.
     pub async fn configure(mut self) {
@@ -168,6 +174,7 @@
             operator: self.number,
             kind,
             sent_at,
+            last_sent_at: sent_at,
             acknowledged_at: None,
             is_refused: false,
         };
@@ -185,6 +192,8 @@
         let mut pause_ms = FIRST_RETRY_DELAY_MS;
         loop {
             let node = self.choose_node();
+            let now = self.record.now();
+            self.record.update(|seen| seen.commands[index].last_sent_at = now);
             let answer = self.call(node, &bytes).await;
             let is_lost = self.rng.gen_bool(LOST_ANSWER_FRACTION);
             let status = answer.filter(|_| !is_lost).map_or(0, |answer| answer.status());
@@ -241,6 +250,18 @@
     }
 }
 
+/// Returns the command that begins or finishes an evacuation, and its call.
+fn evacuation(zone: &str, begin: bool) -> (CommandKind, Call) {
+    let what = if begin { "begin" } else { "finish" };
+    let call = Call {
+        path: format!("/evacuation/{zone}/{what}"),
+        headers: String::new(),
+        body: Vec::new(),
+    };
+    let zone = zone.to_string();
+    (CommandKind::Evacuation { zone, begin }, call)
+}
+
 /// Returns a configuration with the routes of a soak.
 fn configuration(version: u64, has_extra_route: bool, has_keyed_service: bool) -> Vec<u8> {
     let rule = |prefix: &str, kind: &str, service: &str, timeout_ms: u64| {
--- a/crates/fleet-test/tests/soak_checker.rs
+++ b/crates/fleet-test/tests/soak_checker.rs
@@ -61,6 +61,7 @@
             begin,
         },
         sent_at,
+        last_sent_at: sent_at,
         acknowledged_at,
         is_refused: false,
     }
@@ -74,6 +75,7 @@
             has_extra_route,
         },
         sent_at: acknowledged_at - 10,
+        last_sent_at: acknowledged_at - 10,
         acknowledged_at: Some(acknowledged_at),
         is_refused: false,
     }
@@ -388,6 +390,15 @@
     assert!(rules(&observations).is_empty());
     observations.evacuated_at_end = Some(vec!["z".into()]);
     assert_eq!(rules(&observations), ["RECOVER"]);
+    // A begin that was sent again in time counts once.
+    observations.commands[0].last_sent_at = 3999;
+    assert_eq!(rules(&observations), ["RECOVER"]);
+    // One that was sent again later may count twice; a further finish then ends the evacuation.
+    observations.commands[0].last_sent_at = 4000;
+    assert!(rules(&observations).is_empty());
+    observations.evacuated_after_further_finish = vec!["z".into()];
+    assert_eq!(rules(&observations), ["RECOVER"]);
+    observations.commands[0].last_sent_at = 1000;
     // A finish without an acknowledgement may not have been executed.
     observations.commands[1].acknowledged_at = None;
     assert!(rules(&observations).is_empty());
--- a/crates/pebblepond/src/control/proposals.rs
+++ b/crates/pebblepond/src/control/proposals.rs
@@ -2,7 +2,7 @@
 
 use super::driver::RaftDriver;
 use control_state::{configuration_key, Outcome};
-use protocol::{Change, ChangeKind, CommandTag, ConfigurationKey};
+use protocol::{Change, ChangeKind, CommandTag, ConfigurationKey, EvacuationChange};
 use tokio::sync::oneshot;
 
 /// The outcome of an applied change, and its index in the log.
@@ -69,8 +69,11 @@
         let repeated = tag.as_ref().and_then(|tag| self.repeated(tag));
         if let (Some(tag), Some(index)) = (&tag, repeated) {
             let now = self.context.now();
-            self.recent_commands.record_repetition(now, index, tag);
-            log_repetition(&kind, index);
+            match &kind {
+                // Resending does not extend the doubt about an evacuation: a new one would not count.
+                ChangeKind::Evacuate(change) => log_repetition(change, index),
+                _ => self.recent_commands.record_repetition(now, index, tag),
+            }
         }
         let tag = tag.map(|tag| CommandTag {
             repeats: repeated.unwrap_or(0),
@@ -121,9 +124,7 @@
 }
 
 /// Logs that an evacuation command is taken for a repetition of the entry at `index`.
-fn log_repetition(kind: &ChangeKind, index: u64) {
-    if let ChangeKind::Evacuate(change) = kind {
-        let (zone, begin) = (&change.zone, change.begin);
-        log::info!("event=evacuation_repetition zone={zone} begin={begin} repeats={index}");
-    }
+fn log_repetition(change: &EvacuationChange, index: u64) {
+    let EvacuationChange { zone, begin } = change;
+    log::info!("event=evacuation_repetition zone={zone} begin={begin} repeats={index}");
 }
--- a/crates/simulation/tests/explore.rs
+++ b/crates/simulation/tests/explore.rs
@@ -329,3 +329,14 @@
         "{coverage:?}"
     );
 }
+
+/// Guards against a new begin that counts as a repetition because an earlier one was sent again
+/// meanwhile (EVAC).
+#[test]
+fn a_new_begin_counts_although_an_earlier_one_was_sent_again() {
+    for seed in [90_342, 90_537, 770_311, 5_520_361] {
+        let plan = PlanTree::of_seed(seed, 60).expect("a plan").plan();
+        let (_, violations, _) = run_and_check(&plan, Mutant::None);
+        assert_eq!(violations, Vec::<String>::new(), "seed {seed}");
+    }
+}
