--- a/crates/fleet-test/src/scenarios/finish_after_restart.rs
+++ b/crates/fleet-test/src/scenarios/finish_after_restart.rs
@@ -27,7 +27,7 @@
         pause(PAUSE_MS).await;
         run.evacuate(&zone).await?;
         pause(PAUSE_MS).await;
-        restart_all(run).await?;
+        run.kill_and_restart_all(OUTAGE_MS).await?;
         run.finish_evacuation(&zone).await?;
         match run.is_evacuated(&zone).await {
             Some(false) => run.log_progress("the finish is in force"),
@@ -39,16 +39,3 @@
     }
     Ok(())
 }
-
-async fn restart_all(run: &mut Run) -> Result<(), ScenarioError> {
-    let all: Vec<u8> = run.fleet.nodes.iter().map(|n| n.number).collect();
-    for number in &all {
-        run.fleet.node(*number)?.kill();
-    }
-    run.log_progress(format!("all {} nodes are killed", all.len()));
-    pause(OUTAGE_MS).await;
-    for number in &all {
-        run.fleet.restart(*number)?;
-    }
-    Ok(())
-}
--- a/crates/fleet-test/src/scenarios/many_changes.rs
+++ b/crates/fleet-test/src/scenarios/many_changes.rs
@@ -98,18 +98,7 @@
 
 async fn restart_all(run: &mut Run) -> Result<(), ScenarioError> {
     let path = orders::path_of(run.current, "a");
-    let all: Vec<u8> = run.fleet.nodes.iter().map(|n| n.number).collect();
-    for number in &all {
-        run.fleet.node(*number)?.kill();
-    }
-    run.log_progress(format!(
-        "all {} nodes are killed at version {}",
-        all.len(),
-        run.current
-    ));
-    for number in &all {
-        run.fleet.restart(*number)?;
-    }
+    let all = run.kill_and_restart_all(0).await?;
     let started = Instant::now();
     let leader = run.fleet.wait_for_leader(Duration::from_secs(RECOVERY_S)).await?;
     let led_after_ms = started.elapsed().as_millis();
--- a/crates/fleet-test/src/scenarios/run.rs
+++ b/crates/fleet-test/src/scenarios/run.rs
@@ -1,7 +1,7 @@
 //! State of a running scenario: the fleet, an operator, and the violations found so far.
 
 use super::{
-    shuffled, Options, COMMAND_TIMEOUT_S, FIRST_COMMAND_TIMEOUT_S, GRACE_PERIOD_MS, HEARD_WITHIN_MS,
+    pause, shuffled, Options, COMMAND_TIMEOUT_S, FIRST_COMMAND_TIMEOUT_S, GRACE_PERIOD_MS, HEARD_WITHIN_MS,
 };
 use crate::checker::{Answer, Operation};
 use crate::fleet::Fleet;
@@ -125,6 +125,24 @@
         Ok(longest_ms)
     }
 
+    /// Kills all nodes, restarts them `outage_ms` milliseconds later, and returns their numbers.
+    pub(super) async fn kill_and_restart_all(&mut self, outage_ms: u64) -> Result<Vec<u8>, ScenarioError> {
+        let all: Vec<u8> = self.fleet.nodes.iter().map(|n| n.number).collect();
+        for number in &all {
+            self.fleet.node(*number)?.kill();
+        }
+        self.log_progress(format!(
+            "all {} nodes are killed at version {}",
+            all.len(),
+            self.current
+        ));
+        pause(outage_ms).await;
+        for number in &all {
+            self.fleet.restart(*number)?;
+        }
+        Ok(all)
+    }
+
     /// Shuts a node down with SIGTERM while this many changes are made. The node must end within
     /// its grace period.
     pub(super) async fn terminate_gracefully(
--- a/crates/simulation/src/exploration.rs
+++ b/crates/simulation/src/exploration.rs
@@ -10,6 +10,7 @@
 
 mod delivery;
 mod faults;
+mod links;
 mod losses;
 mod observations;
 mod operators;
