Discovery: the last page of a list is compared at once; the soak tests share how they judge

Found on reading the change once more: a list of one page proposed each leaving twice, once for its page and once by the comparison that follows it before the first is applied. A page is told of by itself only if another one follows. The two soak tests call one function.

--- a/crates/pebblepond/src/discovery/mod.rs
+++ b/crates/pebblepond/src/discovery/mod.rs
@@ -154,13 +154,7 @@
 
     /// Proposes the workers that a page shows as draining, if this node still leads. The reading
     /// goes on meanwhile.
-    async fn propose_draining(
-        &self,
-        driver: &Addr<RaftDriver>,
-        page: &BTreeMap<String, Worker>,
-        reading: &Reading,
-    ) {
-        let change = draining_on_page(page.values(), &self.context.state.get(), reading.as_of);
+    async fn propose_draining(&self, driver: &Addr<RaftDriver>, change: WorkersChange, reading: &Reading) {
         if is_empty_change(&change) {
             return;
         }
@@ -207,9 +201,13 @@
             let entries = page.instances.into_iter();
             let entries: BTreeMap<String, Worker> =
                 entries.map(|(id, l)| (id.clone(), l.into_worker(id))).collect();
-            self.propose_draining(driver, &entries, reading).await;
+            let draining = draining_on_page(entries.values(), &self.context.state.get(), reading.as_of);
             match listing.add_page(entries, page.next_token) {
-                NextStep::Page(token) => path = format!("/instances?PageToken={token}"),
+                NextStep::Page(token) => {
+                    self.propose_draining(driver, draining, reading).await;
+                    path = format!("/instances?PageToken={token}");
+                }
+                // The comparison with the whole list follows at once.
                 NextStep::Done => return Some(listing),
                 NextStep::Invalid => return None,
             }
--- a/crates/pebblepond/tests/long_list.rs
+++ b/crates/pebblepond/tests/long_list.rs
@@ -1,8 +1,9 @@
 //! Runs a short soak on real processes with a list of workers of many pages.
 
+mod support;
+
 use fleet_test::soak::shape::ShapeName;
-use fleet_test::soak::{run, Options};
-use std::path::Path;
+use fleet_test::soak::Options;
 
 /// Seed of the random faults and load.
 const SEED: u64 = 2;
@@ -22,13 +23,5 @@
         kills_all: false,
         keep: false,
     };
-    let program = Path::new(env!("CARGO_BIN_EXE_pebblepond"));
-    let report = actix_rt::System::new().block_on(run(program, options));
-    let report = report.expect("the soak runs to its end");
-    println!("{}", report.summary);
-    assert!(
-        report.violations.is_empty(),
-        "seed {SEED}: {:#?}",
-        report.violations
-    );
+    support::assert_soak_holds(options);
 }
--- a/crates/pebblepond/tests/soak.rs
+++ b/crates/pebblepond/tests/soak.rs
@@ -1,9 +1,10 @@
 //! Runs a short soak test on real processes of this build; longer ones are started manually with
 //! `fleet-test soak`.
 
+mod support;
+
 use fleet_test::soak::shape::ShapeName;
-use fleet_test::soak::{run, Options};
-use std::path::Path;
+use fleet_test::soak::Options;
 
 /// Seed of the random faults and load.
 const SEED: u64 = 27;
@@ -22,13 +23,5 @@
         kills_all: false,
         keep: false,
     };
-    let program = Path::new(env!("CARGO_BIN_EXE_pebblepond"));
-    let report = actix_rt::System::new().block_on(run(program, options));
-    let report = report.expect("the soak runs to its end");
-    println!("{}", report.summary);
-    assert!(
-        report.violations.is_empty(),
-        "seed {SEED}: {:#?}",
-        report.violations
-    );
+    support::assert_soak_holds(options);
 }
